--- /dev/null
+++ b/cmd/flamingoreeld/run.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/flamingoreel/flamingoreel/internal/admin"
+	"github.com/flamingoreel/flamingoreel/internal/vm"
+)
+
+// headerTimeout bounds how long a caller may take to send its headers.
+const headerTimeout = 10 * time.Second
+
+// run starts the VM and serves until a signal asks it to stop.
+func run(ctx context.Context, s settings) error {
+	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: s.logLevel}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+
+	dataDir := ""
+	if slices.Contains(s.voters, s.name) {
+		dataDir = s.dataDir
+	}
+	node, err := vm.New(vm.Config{
+		Name: s.name, Region: s.region, DataCentre: s.dataCentre, Cluster: s.cluster,
+		LinkAddr: s.linkAddr, CallerAddr: s.callerAddr, Peers: s.peers,
+		Voters: s.voters, DataDir: dataDir, Bootstrap: s.bootstrap,
+		Incarnation: uint64(time.Now().UnixNano()), Seed: uint64(time.Now().UnixNano()),
+		Logger: logger, Registry: registry,
+	})
+	if err != nil {
+		return err
+	}
+	defer node.Close()
+	callers := &http.Server{Handler: node.Entry().Handler(), ReadHeaderTimeout: headerTimeout}
+	operators := &http.Server{Handler: admin.Handler(node, registry), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 2)
+	if err := serve(callers, s.callerAddr, failed); err != nil {
+		return err
+	}
+	if err := serve(operators, s.adminAddr, failed); err != nil {
+		return err
+	}
+	logger.WithFields(log.Fields{"vm": s.name, "region": s.region, "data_centre": s.dataCentre, "callers": s.callerAddr}).Info("started")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	drain(node, callers, s.drainTimeout)
+	logger.WithField("vm", s.name).Info("stopped")
+	return operators.Close()
+}
+
+func serve(server *http.Server, addr string, failed chan<- error) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// drain stops gracefully: contracts move away and requests in flight end
+// before the callers' listener closes.
+func drain(node *vm.VM, callers *http.Server, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	node.Drain(ctx)
+	_ = callers.Shutdown(ctx)
+}
--- /dev/null
+++ b/cmd/flamingoreeld/settings.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/urfave/cli/v3"
+)
+
+// exitSettings is the exit code for faulty settings.
+const exitSettings = 2
+
+// settings are the checked settings of the daemon.
+type settings struct {
+	name, region, dataCentre, cluster string
+	linkAddr, callerAddr, adminAddr   string
+	peers                             map[string]string
+	voters                            []string
+	dataDir                           string
+	bootstrap                         bool
+	logLevel                          log.Level
+	drainTimeout                      time.Duration
+}
+
+// env returns the environment variable of a flag.
+func env(flag string) cli.ValueSourceChain {
+	return cli.EnvVars("FLAMINGOREEL_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
+func stringFlag(name, value, usage string) *cli.StringFlag {
+	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: env(name)}
+}
+
+// command describes the daemon's flags.
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "flamingoreeld",
+		Usage: "route requests to targets that own their keys exclusively",
+		Flags: []cli.Flag{
+			stringFlag("name", "", "name of this VM, unique in the cluster"),
+			stringFlag("region", "", "region of this VM"),
+			stringFlag("data-centre", "", "data centre of this VM"),
+			stringFlag("cluster", "", "name of the cluster; VMs of other clusters are refused"),
+			stringFlag("link-addr", "", "IP:port for the other VMs"),
+			stringFlag("caller-addr", "", "IP:port for callers and announcing targets"),
+			stringFlag("admin-addr", "", "IP:port for operators, health checks and metrics"),
+			stringFlag("peers", "", "all VMs as NAME=IP:PORT, separated by commas"),
+			stringFlag("voters", "", "names of the VMs that hold the control log, separated by commas"),
+			stringFlag("data-dir", "", "data directory; required on a voter"),
+			&cli.BoolFlag{Name: "bootstrap", Usage: "form a new control log when all voters are empty", Sources: env("bootstrap")},
+			stringFlag("log-level", "info", "debug, info, warn or error"),
+			&cli.DurationFlag{Name: "drain-timeout", Value: 10 * time.Second, Usage: "longest graceful shutdown", Sources: env("drain-timeout")},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, faults := readSettings(c)
+			if len(faults) > 0 {
+				for _, f := range faults {
+					fmt.Fprintln(os.Stderr, "flamingoreeld:", f)
+				}
+				return cli.Exit("", exitSettings)
+			}
+			return run(ctx, s)
+		},
+	}
+}
+
+// readSettings reads all settings and returns every fault found.
+func readSettings(c *cli.Command) (settings, []string) {
+	var faults []string
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	s := settings{
+		name: c.String("name"), region: c.String("region"), dataCentre: c.String("data-centre"), cluster: c.String("cluster"),
+		linkAddr: c.String("link-addr"), callerAddr: c.String("caller-addr"), adminAddr: c.String("admin-addr"),
+		dataDir: c.String("data-dir"), bootstrap: c.Bool("bootstrap"), drainTimeout: c.Duration("drain-timeout"),
+	}
+	for _, name := range []string{"name", "region", "data-centre", "cluster"} {
+		if c.String(name) == "" {
+			fault("--%s is required", name)
+		}
+	}
+	for _, name := range []string{"link-addr", "caller-addr", "admin-addr"} {
+		if err := checkAddr(c.String(name)); err != nil {
+			fault("--%s: %v", name, err)
+		}
+	}
+	var err error
+	if s.peers, err = readPeers(c.String("peers")); err != nil {
+		fault("--peers: %v", err)
+	}
+	s.voters = splitList(c.String("voters"))
+	if len(s.voters) == 0 {
+		fault("--voters is required")
+	}
+	for _, v := range s.voters {
+		if _, ok := s.peers[v]; !ok && err == nil {
+			fault("--voters: %s is not among --peers", v)
+		}
+		if v == s.name && s.dataDir == "" {
+			fault("--data-dir is required on a voter")
+		}
+	}
+	if s.logLevel, err = log.ParseLevel(c.String("log-level")); err != nil {
+		fault("--log-level: %v", err)
+	}
+	if s.drainTimeout <= 0 {
+		fault("--drain-timeout must be positive")
+	}
+	return s, faults
+}
+
+// checkAddr accepts IP:port, because processes talk by IP number.
+func checkAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q is not an IP number", host)
+	}
+	if _, err := net.LookupPort("tcp", port); err != nil {
+		return fmt.Errorf("%q is not a port", port)
+	}
+	return nil
+}
+
+func readPeers(list string) (map[string]string, error) {
+	peers := make(map[string]string)
+	for _, item := range splitList(list) {
+		name, addr, ok := strings.Cut(item, "=")
+		if !ok || name == "" {
+			return nil, fmt.Errorf("%q is not NAME=IP:PORT", item)
+		}
+		if _, twice := peers[name]; twice {
+			return nil, fmt.Errorf("%s is listed twice", name)
+		}
+		if err := checkAddr(addr); err != nil {
+			return nil, err
+		}
+		peers[name] = addr
+	}
+	return peers, nil
+}
+
+func splitList(list string) []string {
+	var out []string
+	for _, item := range strings.Split(list, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			out = append(out, item)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,111 @@
+// Package admin is the operators' side of a VM: configuration, status, health
+// and metrics over HTTP.
+package admin
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/flamingoreel/flamingoreel/internal/control"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/text"
+	"github.com/flamingoreel/flamingoreel/internal/vm"
+)
+
+// Node is what the admin interface needs from its VM.
+type Node interface {
+	ChangeConfig(ctx context.Context, base uint64, content []byte) (control.ChangeResult, []text.Fault, *errkind.Error)
+	Config(ctx context.Context) (number uint64, content []byte, err error)
+	Status(ctx context.Context) (vm.Status, error)
+	// NotReady returns why the VM takes no callers, or an empty string.
+	NotReady() string
+}
+
+// ConfigView is the answer to GET /v1/config.
+type ConfigView struct {
+	Number uint64 `json:"number"`
+	Text   string `json:"text"`
+}
+
+// ConfigChange is the body of PUT /v1/config.
+type ConfigChange struct {
+	Base uint64 `json:"base"`
+	Text string `json:"text"`
+}
+
+// ChangeView is the answer to PUT /v1/config.
+type ChangeView struct {
+	Accepted bool   `json:"accepted"`
+	Number   uint64 `json:"number"`
+	Current  string `json:"current,omitempty"`
+}
+
+// FaultsView is the answer to a text that is not accepted.
+type FaultsView struct {
+	Faults []text.Fault `json:"faults"`
+}
+
+type server struct{ node Node }
+
+// Handler returns the HTTP handler of the admin address.
+func Handler(node Node, gatherer prometheus.Gatherer) http.Handler {
+	s := &server{node: node}
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", s.ready)
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{})))
+	e.GET("/v1/config", s.getConfig)
+	e.PUT("/v1/config", s.putConfig)
+	e.GET("/v1/status", s.status)
+	return e
+}
+
+func (s *server) ready(c echo.Context) error {
+	if reason := s.node.NotReady(); reason != "" {
+		return c.String(http.StatusServiceUnavailable, reason+"\n")
+	}
+	return c.String(http.StatusOK, "ok\n")
+}
+
+func (s *server) getConfig(c echo.Context) error {
+	number, content, err := s.node.Config(c.Request().Context())
+	if err != nil {
+		return fail(c, errkind.From(err))
+	}
+	return c.JSON(http.StatusOK, ConfigView{Number: number, Text: string(content)})
+}
+
+func (s *server) putConfig(c echo.Context) error {
+	var change ConfigChange
+	if err := c.Bind(&change); err != nil {
+		return fail(c, errkind.New(errkind.BadRequest, "the change is not valid JSON"))
+	}
+	result, faults, err := s.node.ChangeConfig(c.Request().Context(), change.Base, []byte(change.Text))
+	switch {
+	case len(faults) > 0:
+		return c.JSON(http.StatusUnprocessableEntity, FaultsView{Faults: faults})
+	case err != nil:
+		return fail(c, err)
+	case !result.Accepted:
+		return c.JSON(http.StatusConflict, ChangeView{Number: result.Number, Current: string(result.Current)})
+	}
+	return c.JSON(http.StatusOK, ChangeView{Accepted: true, Number: result.Number})
+}
+
+func (s *server) status(c echo.Context) error {
+	status, err := s.node.Status(c.Request().Context())
+	if err != nil {
+		return fail(c, errkind.From(err))
+	}
+	return c.JSON(http.StatusOK, status)
+}
+
+// fail writes the answer that the table gives for the error's kind.
+func fail(c echo.Context, err *errkind.Error) error {
+	return c.JSON(errkind.AnswerFor(err.Kind).Status, err)
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -86,6 +86,8 @@
 	Unreachable []string `msgpack:"u"`
 	// Probed lists targets that this VM reached or failed to reach.
 	Probed []string `msgpack:"p"`
+	// ReplicaID names the replica of the control log on this VM, if any.
+	ReplicaID string `msgpack:"i"`
 }
 
 // Renewal answers a heartbeat.
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,159 @@
+// Package dispatcher sends all work of the targets that this VM has a dispatch
+// contract for. It renews their grants, admits requests, keeps the records of
+// non-idempotent requests and reports to the control leader.
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/flamingoreel/flamingoreel/internal/control"
+	"github.com/flamingoreel/flamingoreel/internal/dispatch"
+	"github.com/flamingoreel/flamingoreel/internal/record"
+	"github.com/flamingoreel/flamingoreel/internal/tenant"
+)
+
+// LateAnswerWait is how long after its deadline a non-idempotent request may
+// still be answered, so that the answer reaches its record.
+const LateAnswerWait = 30 * time.Second
+
+// Config is what a dispatcher needs from its VM.
+type Config struct {
+	VM          string
+	Incarnation uint64
+	Region      string
+	// Now is the monotonic time since the process started.
+	Now func() time.Duration
+	// LeaseValid reports whether the VM may send work now.
+	LeaseValid func() bool
+	// Table returns the routing table in force.
+	Table   func() *control.Table
+	Records *record.Coordinator
+	// ShareSuspicions sends crash suspicions to the other VMs.
+	ShareSuspicions func([]dispatch.Suspicion)
+	// Dial replaces TCP when it is not nil.
+	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	Logger   log.Interface
+	Registry prometheus.Registerer
+}
+
+// Dispatcher owns one worker for each target that this VM dispatches.
+type Dispatcher struct {
+	cfg     Config
+	crashes *dispatch.Crashes
+	metrics *metrics
+	tenants *tenant.Labels
+
+	mu      sync.RWMutex
+	workers map[string]*worker
+	// background counts answers that are still awaited after their deadline.
+	background sync.WaitGroup
+	ctx        context.Context
+	cancel     context.CancelFunc
+}
+
+// New returns a dispatcher without contracts.
+func New(cfg Config) *Dispatcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Dispatcher{
+		cfg:     cfg,
+		crashes: dispatch.NewCrashes(),
+		metrics: newMetrics(cfg.Registry),
+		tenants: tenant.NewLabels(),
+		workers: make(map[string]*worker),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+}
+
+// Update brings the workers in line with the routing table. It is called by
+// the control goroutine after each change.
+func (d *Dispatcher) Update(table *control.Table) {
+	contracts := table.Contracts(d.cfg.VM, d.cfg.Incarnation)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := make(map[string]bool, len(contracts))
+	for _, c := range contracts {
+		held[c.Target.ID] = true
+		d.updateWorker(c)
+	}
+	for id, w := range d.workers {
+		if !held[id] {
+			w.stop()
+			delete(d.workers, id)
+		}
+	}
+}
+
+// updateWorker starts, changes or replaces the worker of one contract. A new
+// incarnation, epoch or address gets a new worker, because clock readings and
+// grants of the earlier one say nothing about it.
+func (d *Dispatcher) updateWorker(c control.Contract) {
+	w := d.workers[c.Target.ID]
+	if w != nil && w.serves(c) {
+		w.update(c)
+		return
+	}
+	if w != nil {
+		w.stop()
+	}
+	w = newWorker(d, c)
+	d.workers[c.Target.ID] = w
+	go w.run(d.ctx)
+}
+
+func (d *Dispatcher) worker(target string) *worker {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.workers[target]
+}
+
+// Reports returns the reports on all targets for the next heartbeat.
+func (d *Dispatcher) Reports() []control.TargetReport {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	reports := make([]control.TargetReport, 0, len(d.workers))
+	for _, w := range d.workers {
+		reports = append(reports, w.report())
+	}
+	return reports
+}
+
+// Contracts returns the number of targets that this VM dispatches.
+func (d *Dispatcher) Contracts() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.workers)
+}
+
+// MergeSuspicions takes in crash suspicions of another VM.
+func (d *Dispatcher) MergeSuspicions(s []dispatch.Suspicion) { d.crashes.Merge(s) }
+
+// WaitBackground waits until no answer is awaited any more or ctx ends.
+func (d *Dispatcher) WaitBackground(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		d.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Close ends all workers.
+func (d *Dispatcher) Close() {
+	d.cancel()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, w := range d.workers {
+		w.stop()
+		delete(d.workers, id)
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/serve.go
@@ -0,0 +1,253 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/control"
+	"github.com/flamingoreel/flamingoreel/internal/dispatch"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/record"
+	"github.com/flamingoreel/flamingoreel/internal/relay"
+	"github.com/flamingoreel/flamingoreel/internal/target"
+	"github.com/flamingoreel/flamingoreel/internal/text"
+)
+
+// job is one request on its way through the dispatcher.
+type job struct {
+	req         *relay.Request
+	worker      *worker
+	table       *control.Table
+	service     *text.Service
+	fingerprint uint64
+	hash        uint64
+	arrived     time.Duration
+}
+
+// Serve runs a request on its target and returns the whole answer. An error
+// with outcome not_run means that no byte of the request reached a target, or
+// that the target refused it before running it.
+func (d *Dispatcher) Serve(ctx context.Context, req *relay.Request) (*relay.Reply, *errkind.Error) {
+	j, err := d.accept(req)
+	if err != nil {
+		return nil, err
+	}
+	if d.crashes.Refused(j.fingerprint) {
+		return nil, errkind.New(errkind.KnownCrasher, "this request crashed two targets")
+	}
+	slot, err := j.worker.gate.Acquire(ctx, d.ticket(ctx, j))
+	if err != nil {
+		return nil, err
+	}
+	d.metrics.observe(d.metrics.queue, j, d.cfg.Now()-j.arrived)
+	if err := j.worker.begin(req.Slice, req.Fence, j.hash); err != nil {
+		slot.Release(dispatch.Result{Unused: true})
+		return nil, err
+	}
+	if req.Idempotent() {
+		return d.runIdempotent(ctx, j, slot)
+	}
+	return d.runOnce(ctx, j, slot)
+}
+
+// accept checks a request against the routing table of this VM.
+func (d *Dispatcher) accept(req *relay.Request) (*job, *errkind.Error) {
+	if !d.cfg.LeaseValid() {
+		return nil, errkind.New(errkind.NoLease, "this VM has no valid lease")
+	}
+	if !req.Residency.Allows(d.cfg.Region) {
+		return nil, errkind.New(errkind.WrongRegion, "region %s is outside the tenant's home regions", d.cfg.Region)
+	}
+	table := d.cfg.Table()
+	service, ok := table.Service(req.Service)
+	if !ok {
+		return nil, errkind.New(errkind.UnknownService, "service %s is not configured", req.Service)
+	}
+	j := &job{req: req, table: table, service: service, fingerprint: req.Fingerprint(), hash: req.KeyHash(), arrived: d.cfg.Now()}
+	if service.Ownership == text.Exclusive {
+		if err := checkRoute(table, req, j.hash); err != nil {
+			return nil, err
+		}
+	}
+	j.worker = d.worker(req.Target)
+	if j.worker == nil {
+		return nil, errkind.New(errkind.StaleRoute, "this VM does not dispatch target %s", req.Target)
+	}
+	return j, nil
+}
+
+// checkRoute refuses a request whose entry routed it by another state of
+// ownership than this VM's.
+func checkRoute(table *control.Table, req *relay.Request, hash uint64) *errkind.Error {
+	route, err := table.Route(req.Service, req.Residency, hash)
+	if err != nil {
+		return err
+	}
+	if route.Slice.ID != req.Slice || route.Fence != req.Fence || route.Target.ID != req.Target {
+		return errkind.New(errkind.StaleRoute, "the key's owner changed")
+	}
+	return nil
+}
+
+func (d *Dispatcher) ticket(ctx context.Context, j *job) dispatch.Ticket {
+	share := 1
+	if t, ok := j.table.Tenant(j.req.Tenant); ok {
+		share = t.Share
+	}
+	return dispatch.Ticket{
+		Tenant:      j.req.Tenant,
+		Class:       dispatch.Class(j.req.Class),
+		Share:       share,
+		Deadline:    d.cfg.Now() + remaining(ctx, j.table),
+		Fingerprint: j.fingerprint,
+		Alone:       d.crashes.Suspected(j.fingerprint),
+	}
+}
+
+// remaining returns the time until the deadline of ctx.
+func remaining(ctx context.Context, table *control.Table) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return table.Text().Limits.DefaultDeadline
+}
+
+// runIdempotent sends a request that may run again; it is cancelled with ctx.
+func (d *Dispatcher) runIdempotent(ctx context.Context, j *job, slot *dispatch.Slot) (*relay.Reply, *errkind.Error) {
+	defer j.worker.end(j.req.Slice)
+	return d.send(ctx, j, slot)
+}
+
+// runOnce sends a non-idempotent request if its record allows it. After the
+// request was sent it is not cancelled: the answer is awaited past the
+// deadline, so that a resend gets it from the record.
+func (d *Dispatcher) runOnce(ctx context.Context, j *job, slot *dispatch.Slot) (*relay.Reply, *errkind.Error) {
+	running, stored, err := d.cfg.Records.Begin(ctx, record.BeginRequest{
+		ID:          j.req.ID(),
+		Fingerprint: j.fingerprint,
+		FirstSent:   j.req.FirstSent,
+		Retention:   j.table.Text().RecordRetention,
+		HolderSets:  j.table.HolderSets(j.req.Residency),
+	})
+	if err != nil || stored != nil {
+		j.worker.end(j.req.Slice)
+		slot.Release(dispatch.Result{Unused: true})
+		if err != nil {
+			return nil, err
+		}
+		return StoredReply(stored)
+	}
+	if err := ctx.Err(); err != nil {
+		j.worker.end(j.req.Slice)
+		slot.Release(dispatch.Result{Unused: true})
+		running.Abort(context.WithoutCancel(ctx))
+		return nil, errkind.New(errkind.QueueTimeout, "the deadline passed before the request was sent")
+	}
+	type result struct {
+		reply *relay.Reply
+		err   *errkind.Error
+	}
+	results := make(chan result, 1)
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		defer j.worker.end(j.req.Slice)
+		sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining(ctx, j.table)+LateAnswerWait)
+		defer cancel()
+		reply, err := d.send(sendCtx, j, slot)
+		d.settle(sendCtx, running, reply, err)
+		results <- result{reply, err}
+	}()
+	select {
+	case r := <-results:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return nil, errkind.New(errkind.AnswerTimeout, "the target did not answer before the deadline")
+	}
+}
+
+// settle brings the record in line with what is known: an answer is stored, a
+// request that did not run is forgotten, anything else stays started.
+func (d *Dispatcher) settle(ctx context.Context, running *record.Running, reply *relay.Reply, err *errkind.Error) {
+	ctx = context.WithoutCancel(ctx)
+	if err == nil {
+		running.Finish(ctx, record.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body})
+		return
+	}
+	if err.Outcome() == errkind.NotRun {
+		running.Abort(ctx)
+	}
+}
+
+// StoredReply returns the answer kept in a record.
+func StoredReply(a *record.Answer) (*relay.Reply, *errkind.Error) {
+	if a.Dropped {
+		return nil, errkind.New(errkind.AnswerNotKept, "the request ran; its answer was too large to keep")
+	}
+	return &relay.Reply{Status: a.Status, Header: a.Header, Body: a.Body, Stored: true}, nil
+}
+
+// send does one exchange with the target and releases the slot.
+func (d *Dispatcher) send(ctx context.Context, j *job, slot *dispatch.Slot) (*relay.Reply, *errkind.Error) {
+	started := d.cfg.Now()
+	resp, err := j.worker.client.Do(ctx, j.targetRequest(ctx))
+	latency := d.cfg.Now() - started
+	if err != nil {
+		e := errkind.From(err)
+		crashed := e.Kind == errkind.TargetLost
+		slot.Release(dispatch.Result{Latency: latency, Crashed: crashed, Unused: e.Outcome() == errkind.NotRun})
+		if crashed {
+			d.suspect(j, slot)
+		}
+		d.metrics.failed(j, e.Kind)
+		return nil, e
+	}
+	slot.Release(dispatch.Result{Latency: latency, OK: resp.Status < http.StatusInternalServerError})
+	d.metrics.observe(d.metrics.service, j, latency)
+	return &relay.Reply{Status: resp.Status, Header: resp.Header, Body: resp.Body, Target: j.req.Target}, nil
+}
+
+// suspect notes that the target's connection broke while the request ran.
+func (d *Dispatcher) suspect(j *job, slot *dispatch.Slot) {
+	d.crashes.Suspect(d.cfg.Now(), j.fingerprint, j.req.Target, j.worker.incarnation())
+	if fresh := d.crashes.Drain(); len(fresh) > 0 && d.cfg.ShareSuspicions != nil {
+		d.cfg.ShareSuspicions(fresh)
+	}
+	d.cfg.Logger.WithFields(fields(j)).Warn("target connection lost during request")
+}
+
+// targetRequest adds the terms of the dispatch contract to the request.
+func (j *job) targetRequest(ctx context.Context) target.Request {
+	header := j.req.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	header.Set(target.HeaderTenant, j.req.Tenant)
+	header.Set(target.HeaderService, j.req.Service)
+	header.Set(target.HeaderKey, j.req.Key)
+	header.Set(target.HeaderClass, string(j.req.Class))
+	header.Set(target.HeaderEpoch, strconv.FormatUint(uint64(j.worker.epoch()), 10))
+	header.Set(target.HeaderDeadline, strconv.FormatInt(max(remaining(ctx, j.table).Milliseconds(), 1), 10))
+	if j.req.Slice != 0 {
+		header.Set(target.HeaderSlice, strconv.FormatUint(uint64(j.req.Slice), 10))
+		header.Set(target.HeaderFence, strconv.FormatUint(uint64(j.req.Fence), 10))
+	}
+	if j.req.IdempotencyKey != "" {
+		header.Set(target.HeaderIdemKey, j.req.IdempotencyKey)
+	}
+	return target.Request{
+		Method:    j.req.Method,
+		Path:      j.req.Path,
+		Header:    header,
+		Body:      j.req.Body,
+		MaxAnswer: j.table.Text().Limits.MaxAnswerBytes,
+	}
+}
+
+func (w *worker) incarnation() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.contract.Target.Incarnation
+}
--- /dev/null
+++ b/internal/entry/route.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/control"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/relay"
+	"github.com/flamingoreel/flamingoreel/internal/text"
+)
+
+// Bounds of a request at the entry.
+const (
+	// maxDeadline bounds the deadline that a caller may ask for.
+	maxDeadline = 60 * time.Second
+	// maxKeyBytes bounds an idempotency key, because records keep it.
+	maxKeyBytes = 256
+	// leaseWait is how long a request waits for this VM to get its lease back.
+	leaseWait = time.Second
+	// retryPause is the shortest pause before the next attempt.
+	retryPause = 5 * time.Millisecond
+	// maxRetryPause bounds the pause while an owner changes.
+	maxRetryPause = 50 * time.Millisecond
+	// defaultRetryBudget is the share of requests that may be retries.
+	defaultRetryBudget = 0.1
+	// lookupTimeout bounds the look-up of a record after a refusal.
+	lookupTimeout = 500 * time.Millisecond
+)
+
+// route relays a request until it is answered, may not be retried or its
+// deadline passes.
+func (e *Entry) route(ctx context.Context, req *relay.Request) (*relay.Reply, *errkind.Error) {
+	e.budget.Earn()
+	pause := retryPause
+	for {
+		reply, err := e.try(ctx, req)
+		if err == nil {
+			return reply, nil
+		}
+		if !e.mayRetry(req, err) {
+			return nil, err
+		}
+		if !sleep(ctx, pause+rand.N(pause)) {
+			return nil, err
+		}
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+// mayRetry reports whether another attempt is safe and affordable. A
+// non-idempotent request is retried only after not_run. Attempts that wait for
+// an owner touch no target and cost no retry budget.
+func (e *Entry) mayRetry(req *relay.Request, err *errkind.Error) bool {
+	switch err.Kind {
+	case errkind.NoOwner, errkind.StaleRoute, errkind.NoLease, errkind.LinkDown, errkind.TargetUnreachable:
+		return true
+	case errkind.TargetRefused, errkind.RecordUnavailable, errkind.Stopping:
+		return e.budget.Spend()
+	case errkind.LinkLost, errkind.TargetLost:
+		return req.Idempotent() && e.budget.Spend()
+	}
+	return false
+}
+
+// try makes one attempt under the routing table in force.
+func (e *Entry) try(ctx context.Context, req *relay.Request) (*relay.Reply, *errkind.Error) {
+	if !e.cfg.Router.LeaseValid() {
+		return nil, errkind.New(errkind.NoLease, "this VM is not in contact with the control leader")
+	}
+	table := e.cfg.Router.Table()
+	service, ok := table.Service(req.Service)
+	if !ok {
+		return nil, errkind.New(errkind.UnknownService, "service %s is not configured", req.Service)
+	}
+	if err := checkDependencies(table, service, req); err != nil {
+		return nil, err
+	}
+	if service.Ownership == text.Any {
+		return e.tryAny(ctx, table, req)
+	}
+	return e.tryOwner(ctx, table, req)
+}
+
+// checkDependencies refuses a request early when a required dependency of its
+// service, direct or indirect, has no usable target where the request may go.
+func checkDependencies(table *control.Table, service *text.Service, req *relay.Request) *errkind.Error {
+	for _, d := range service.DependsOn {
+		if !d.Required {
+			continue
+		}
+		if !table.Servable(d.Service, req.Residency) {
+			return errkind.New(errkind.DependencyDown, "service %s, which %s depends on, cannot be served", d.Service, service.Name)
+		}
+		next, ok := table.Service(d.Service)
+		if !ok {
+			continue
+		}
+		if err := checkDependencies(table, next, req); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tryOwner relays a request to the dispatcher of its key's owner.
+func (e *Entry) tryOwner(ctx context.Context, table *control.Table, req *relay.Request) (*relay.Reply, *errkind.Error) {
+	route, err := table.Route(req.Service, req.Residency, req.KeyHash())
+	if err != nil {
+		return nil, err
+	}
+	attempt := *req
+	attempt.Target = route.Target.ID
+	attempt.Slice = route.Slice.ID
+	attempt.Fence = route.Fence
+	return e.cfg.Router.Relay(ctx, route.Dispatch.VM, &attempt)
+}
+
+// confirmRefusal checks, before a non-idempotent request is refused as
+// not_run, that no earlier request with the same key left a record. Without
+// this check a resend of a posting that ran would be told that it did not run.
+func (e *Entry) confirmRefusal(ctx context.Context, table *control.Table, req *relay.Request, err *errkind.Error) (*relay.Reply, *errkind.Error) {
+	if req.Idempotent() || err.Outcome() != errkind.NotRun || err.Kind == errkind.IDReused {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
+	defer cancel()
+	found, lookupErr := e.cfg.Records.Lookup(ctx, req.ID(), table.HolderSets(req.Residency))
+	switch {
+	case lookupErr != nil:
+		return nil, errkind.Wrap(errkind.EarlierUnknown, err, "this request did not run (%s); whether an earlier one with the same key ran is not known", err.Kind)
+	case found == nil:
+		return nil, err
+	case found.Answer == nil:
+		return nil, errkind.New(errkind.StartedElsewhere, "an earlier request with the same key was started; its answer is not known")
+	case found.Answer.Dropped:
+		return nil, errkind.New(errkind.AnswerNotKept, "the request ran; its answer was too large to keep")
+	}
+	return &relay.Reply{Status: found.Answer.Status, Header: found.Answer.Header, Body: found.Answer.Body, Stored: true}, nil
+}
+
+// sleep waits for d and reports whether ctx is still alive and leaves time for
+// another attempt.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -50,6 +50,7 @@
 	AnswerTooLarge    Kind = "answer_too_large"
 	StartedElsewhere  Kind = "started_elsewhere"
 	AnswerNotKept     Kind = "answer_not_kept"
+	EarlierUnknown    Kind = "earlier_unknown"
 	Internal          Kind = "internal"
 	InvalidText       Kind = "invalid_text"
 	ConfigConflict    Kind = "config_conflict"
@@ -69,10 +70,11 @@
 }
 
 var table = map[Kind]Answer{
-	BadRequest:        {http.StatusBadRequest, NotRun, false},
-	UnknownService:    {http.StatusNotFound, NotRun, false},
-	UnknownTenant:     {http.StatusForbidden, NotRun, false},
-	ExpiredID:         {http.StatusConflict, NotRun, false},
+	BadRequest:     {http.StatusBadRequest, NotRun, false},
+	UnknownService: {http.StatusNotFound, NotRun, false},
+	UnknownTenant:  {http.StatusForbidden, NotRun, false},
+	// An expired ID is not run now but may have run within the retention.
+	ExpiredID:         {http.StatusConflict, Unknown, false},
 	IDReused:          {http.StatusUnprocessableEntity, NotRun, false},
 	WrongRegion:       {http.StatusMisdirectedRequest, NotRun, true},
 	NoLease:           {http.StatusServiceUnavailable, NotRun, true},
@@ -93,6 +95,7 @@
 	AnswerTooLarge:    {http.StatusBadGateway, Unknown, true},
 	StartedElsewhere:  {http.StatusConflict, Unknown, true},
 	AnswerNotKept:     {http.StatusConflict, Unknown, true},
+	EarlierUnknown:    {http.StatusServiceUnavailable, Unknown, true},
 	Internal:          {http.StatusInternalServerError, Unknown, true},
 	InvalidText:       {http.StatusUnprocessableEntity, NotRun, false},
 	ConfigConflict:    {http.StatusConflict, NotRun, false},
--- /dev/null
+++ b/internal/session/cluster_test.go
@@ -0,0 +1,352 @@
+// Package session holds golden sessions of the whole system in virtual time:
+// VMs, stand-in targets and callers in one process, connected in memory.
+package session
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/flamingoreel/flamingoreel/internal/standin"
+	"github.com/flamingoreel/flamingoreel/internal/target"
+	"github.com/flamingoreel/flamingoreel/internal/vm"
+)
+
+// region and data centre of each VM of the small cluster.
+var smallVMs = []struct{ name, region, dataCentre, ip string }{
+	{"lj-1", "osrednja", "lj-a", "10.0.1.1"},
+	{"lj-2", "osrednja", "lj-b", "10.0.1.2"},
+	{"mb-1", "stajerska", "mb-a", "10.0.2.1"},
+	{"mb-2", "stajerska", "mb-b", "10.0.2.2"},
+	{"kp-1", "primorska", "kp-a", "10.0.3.1"},
+}
+
+// cluster is the system under test with its session log.
+type cluster struct {
+	t       *testing.T
+	net     *network
+	ledger  *standin.Ledger
+	vms     map[string]*vm.VM
+	servers map[string]*http.Server
+	targets map[string]*standin.Target
+	client  *http.Client
+	dir     string
+	starts  uint64
+	began   time.Time
+	number  uint64
+	out     bytes.Buffer
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{
+		t: t, net: newNetwork(), ledger: standin.NewLedger(),
+		vms: make(map[string]*vm.VM), servers: make(map[string]*http.Server), targets: make(map[string]*standin.Target),
+		dir: t.TempDir(), began: time.Now(),
+	}
+	c.client = &http.Client{Transport: &http.Transport{DialContext: c.net.dialer("caller"), DisableKeepAlives: true}}
+	for _, v := range smallVMs {
+		c.startVM(v.name)
+	}
+	return c
+}
+
+func (c *cluster) logf(format string, args ...any) {
+	fmt.Fprintf(&c.out, format+"\n", args...)
+}
+
+func vmAddr(name string, port int) string {
+	for _, v := range smallVMs {
+		if v.name == name {
+			return fmt.Sprintf("%s:%d", v.ip, port)
+		}
+	}
+	return ""
+}
+
+// startVM starts a VM, or starts it again with its data directory.
+func (c *cluster) startVM(name string) {
+	c.starts++
+	peers, voters := make(map[string]string), []string{}
+	cfg := vm.Config{Name: name, Cluster: "zdbs", Bootstrap: true, Incarnation: c.starts, Seed: c.starts}
+	for _, v := range smallVMs {
+		peers[v.name] = v.ip + ":7000"
+		voters = append(voters, v.name)
+		if v.name == name {
+			cfg.Region, cfg.DataCentre = v.region, v.dataCentre
+		}
+	}
+	cfg.Peers, cfg.Voters = peers, voters
+	cfg.DataDir = filepath.Join(c.dir, name)
+	cfg.LinkAddr, cfg.CallerAddr = vmAddr(name, 7000), vmAddr(name, 8000)
+	cfg.Listener = c.net.listen(cfg.LinkAddr)
+	host := hostOf(cfg.LinkAddr)
+	cfg.DialTarget = c.net.dialer(host)
+	cfg.DialLink = func(ctx context.Context, addr string) (net.Conn, error) { return c.net.dial(ctx, host, addr) }
+	cfg.Logger = &log.Logger{Handler: discard.New()}
+	v, err := vm.New(cfg)
+	if err != nil {
+		c.t.Fatalf("VM %s: %v", name, err)
+	}
+	server := &http.Server{Handler: v.Entry().Handler()}
+	go func() { _ = server.Serve(c.net.listen(cfg.CallerAddr)) }()
+	c.vms[name], c.servers[name] = v, server
+}
+
+// killVM ends a VM at once; its peers see closed connections.
+func (c *cluster) killVM(name string) {
+	_ = c.servers[name].Close()
+	c.vms[name].Close()
+	delete(c.vms, name)
+	delete(c.servers, name)
+}
+
+// isolateVM cuts a VM off from all others, from targets and from callers'
+// answers, without closing anything.
+func (c *cluster) isolateVM(name string, cut bool) {
+	for _, other := range smallVMs {
+		if other.name == name {
+			continue
+		}
+		c.setCut(hostOf(vmAddr(name, 0)), other.ip, cut)
+	}
+}
+
+func (c *cluster) setCut(a, b string, cut bool) {
+	if cut {
+		c.net.cut(a, b)
+	} else {
+		c.net.heal(a, b)
+	}
+}
+
+// startTarget starts a stand-in target in a data centre.
+func (c *cluster) startTarget(id, service, dataCentre string, change func(*standin.Config)) {
+	addr := fmt.Sprintf("10.1.0.%d:6000", len(c.targets)+1)
+	cfg := standin.Config{
+		ID: id, Service: service, DataCentre: dataCentre, Addr: addr,
+		Listen:   func() (net.Listener, error) { return c.net.listen(addr), nil },
+		Announce: c.callerURLs(), Incarnation: 1, Slots: 6, ServiceTime: 2 * time.Millisecond,
+		ColdRequests: 4, Seed: 1, Ledger: c.ledger,
+		Client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: c.net.dialer(hostOf(addr)), DisableKeepAlives: true}},
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	t, err := standin.Start(cfg)
+	if err != nil {
+		c.t.Fatalf("target %s: %v", id, err)
+	}
+	c.targets[id] = t
+}
+
+func (c *cluster) callerURLs() []string {
+	var urls []string
+	for _, v := range smallVMs {
+		urls = append(urls, "http://"+v.ip+":8000")
+	}
+	return urls
+}
+
+// apply puts a text in force through a VM and waits until all VMs have it.
+func (c *cluster) apply(name, content string) {
+	result, faults, err := c.vms[name].ChangeConfig(context.Background(), c.number, []byte(content))
+	if err != nil || len(faults) > 0 || !result.Accepted {
+		c.t.Fatalf("apply through %s: %+v %v %v", name, result, faults, err)
+	}
+	c.number = result.Number
+	c.eventually(5*time.Second, "configuration in force on all VMs", func() bool {
+		for _, v := range c.vms {
+			if v.Table().ConfigNumber() < c.number {
+				return false
+			}
+		}
+		return true
+	})
+	c.logf("operator applies text %d", c.number)
+}
+
+// eventually waits until the condition holds and fails the test after limit.
+func (c *cluster) eventually(limit time.Duration, what string, condition func() bool) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			c.t.Fatalf("%s: not within %v\nsession so far:\n%s", what, limit, c.out.String())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// waitReady waits until every VM has a lease.
+func (c *cluster) waitReady() {
+	c.eventually(5*time.Second, "all VMs have a lease", func() bool {
+		for _, v := range c.vms {
+			if !v.LeaseValid() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// leader returns the name of the control leader.
+func (c *cluster) leader() string {
+	for _, v := range c.vms {
+		if s, err := v.Status(context.Background()); err == nil && s.LeaseValid {
+			return s.Leader
+		}
+	}
+	return ""
+}
+
+// follower returns a live VM that is not the leader.
+func (c *cluster) follower() string {
+	leader := c.leader()
+	names := make([]string, 0, len(c.vms))
+	for name := range c.vms {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if name != leader {
+			return name
+		}
+	}
+	return ""
+}
+
+// waitAssigned waits until every slice of a service is owned.
+func (c *cluster) waitAssigned(through string) time.Duration {
+	return c.eventually(10*time.Second, "all slices owned", func() bool {
+		s, err := c.vms[through].Status(context.Background())
+		if err != nil || len(s.Slices) == 0 {
+			return false
+		}
+		for _, slice := range s.Slices {
+			if slice.Phase != "owned" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// call is one request of a caller.
+type call struct {
+	via, method, service, tenant, key, idem, body string
+	path                                          string
+	firstSent                                     int64
+	deadline                                      time.Duration
+	header                                        map[string]string
+}
+
+// answer is what a caller received.
+type answer struct {
+	status                    int
+	outcome, kind, from, body string
+}
+
+func (a answer) String() string {
+	s := fmt.Sprintf("%d %s", a.status, a.outcome)
+	if a.kind != "" {
+		return s + " " + a.kind
+	}
+	return s + " " + strings.TrimSpace(a.body)
+}
+
+// do sends a call and returns the answer; status 0 means a broken connection.
+func (c *cluster) do(q call) answer {
+	path := q.path
+	if path == "" {
+		path = "/accounts/" + q.key
+	}
+	req, err := http.NewRequest(q.method, "http://"+vmAddr(q.via, 8000)+path, strings.NewReader(q.body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Header.Set(target.HeaderTenant, q.tenant)
+	req.Header.Set(target.HeaderService, q.service)
+	req.Header.Set(target.HeaderKey, q.key)
+	if q.deadline > 0 {
+		req.Header.Set(target.HeaderDeadline, fmt.Sprint(q.deadline.Milliseconds()))
+	}
+	if q.idem != "" {
+		req.Header.Set(target.HeaderIdemKey, q.idem)
+		req.Header.Set(target.HeaderFirstSent, fmt.Sprint(q.firstSent))
+	}
+	for name, value := range q.header {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer{kind: "connection error"}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{kind: "truncated"}
+	}
+	a := answer{
+		status: resp.StatusCode, outcome: resp.Header.Get(target.HeaderOutcome),
+		kind: resp.Header.Get(target.HeaderErrorKind), from: resp.Header.Get(target.HeaderServedFrom), body: string(body),
+	}
+	return a
+}
+
+// get logs and returns a balance view.
+func (c *cluster) get(via, service, tenant, key string) answer {
+	a := c.do(call{via: via, method: http.MethodGet, service: service, tenant: tenant, key: key})
+	c.logf("GET %s/%s key=%s via %s -> %s", service, tenant, key, via, a)
+	return a
+}
+
+// post logs and returns a posting.
+func (c *cluster) post(via, service, tenant, key, idem string, firstSent time.Time) answer {
+	a := c.do(c.posting(via, service, tenant, key, idem, firstSent))
+	c.logf("POST %s/%s key=%s id=%s via %s -> %s", service, tenant, key, idem, via, a)
+	return a
+}
+
+func (c *cluster) posting(via, service, tenant, key, idem string, firstSent time.Time) call {
+	return call{
+		via: via, method: http.MethodPost, service: service, tenant: tenant, key: key,
+		idem: idem, firstSent: firstSent.UnixMilli(), body: `{"amount": 25}`,
+	}
+}
+
+// owner returns the target that owns a key as a VM sees it.
+func (c *cluster) owner(via, service, tenant, key string) string {
+	a := c.do(call{via: via, method: http.MethodGet, service: service, tenant: tenant, key: key})
+	return a.from
+}
+
+// close ends everything, so that no goroutine of the session is left.
+func (c *cluster) close() {
+	for name := range c.vms {
+		c.killVM(name)
+	}
+	for _, t := range c.targets {
+		t.Close()
+	}
+	c.client.CloseIdleConnections()
+	c.net.close()
+}
+
+// pretty returns v as indented JSON for failures.
+func pretty(v any) string {
+	data, _ := json.MarshalIndent(v, "", "  ")
+	return string(data)
+}
--- /dev/null
+++ b/internal/vm/loop.go
@@ -0,0 +1,441 @@
+package vm
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/flamingoreel/flamingoreel/internal/consensus"
+	"github.com/flamingoreel/flamingoreel/internal/contract"
+	"github.com/flamingoreel/flamingoreel/internal/control"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/storage"
+)
+
+// Sizes and intervals of the control goroutine.
+const (
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 1024
+	// eventBatch is the number of events handled before their effects are
+	// synced, so that one sync serves several messages.
+	eventBatch = 64
+	// planInterval is the time between two looks at what to propose.
+	planInterval = 20 * time.Millisecond
+	// membershipInterval is the time between two looks at the replica set.
+	membershipInterval = time.Second
+	// recentCommands is the number of commands that a leader keeps for VMs
+	// that are behind; a VM further behind gets a snapshot.
+	recentCommands = 4096
+	// compactEvery is the number of entries between two snapshots.
+	compactEvery = 4096
+)
+
+// loop is the control goroutine of a VM. It alone owns the replica, its
+// storage, the control state and the planner; everything else reaches them
+// through post.
+type loop struct {
+	v      *VM
+	logger log.Interface
+	events chan func()
+	ended  chan struct{}
+
+	// replicaID names this VM's replica; empty on a VM that is no voter.
+	replicaID string
+	store     *storage.Store
+	recovered storage.Recovered
+	replica   *consensus.Node
+	failed    bool
+	// storageFailed mirrors failed for readers outside the control goroutine.
+	storageFailed atomic.Bool
+	// reported holds the configuration numbers that VMs reported to the leader.
+	reported sync.Map
+
+	state   *control.State
+	applied uint64
+	compact uint64
+
+	planner        *control.Planner
+	lastPlan       time.Duration
+	lastMembership time.Duration
+	replicaOf      map[string]string
+	recent         []control.IndexedCommand
+	// recentBase is the state version before the first recent command.
+	recentBase uint64
+	waiting    map[uint64]proposal
+	pending    pendingLease
+	dirty      bool
+}
+
+// proposal waits for its entry to be committed.
+type proposal struct {
+	term  uint64
+	reply chan<- proposalResult
+}
+
+type proposalResult struct {
+	change *control.ChangeResult
+	err    *errkind.Error
+}
+
+// pendingLease is a granted lease whose state version is not applied yet.
+type pendingLease struct {
+	version uint64
+	until   time.Duration
+}
+
+// buildControl creates the control goroutine's state and opens the data
+// directory of a voter.
+func (v *VM) buildControl() error {
+	v.loop = &loop{
+		v: v, logger: v.cfg.Logger,
+		events:    make(chan func(), eventQueue),
+		ended:     make(chan struct{}),
+		state:     control.NewState(),
+		replicaOf: make(map[string]string),
+		waiting:   make(map[uint64]proposal),
+	}
+	if v.cfg.DataDir == "" {
+		return nil
+	}
+	return v.loop.openStorage()
+}
+
+// post hands an event to the control goroutine. Events are dropped once it has
+// ended.
+func (l *loop) post(event func()) {
+	select {
+	case l.events <- event:
+	case <-l.ended:
+	}
+}
+
+// run handles events and ticks until ctx ends.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.ended)
+	ticker := time.NewTicker(consensus.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-l.events:
+			event()
+			l.handleBatch()
+		case <-ticker.C:
+			l.tick()
+		}
+		l.process()
+	}
+}
+
+func (l *loop) handleBatch() {
+	for range eventBatch {
+		select {
+		case event := <-l.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+// tick advances the replica's time and, on the leader, plans.
+func (l *loop) tick() {
+	now := l.v.now()
+	if !l.running() {
+		return
+	}
+	l.replica.Tick(now)
+	l.watchLeadership(now)
+	if l.planner == nil {
+		return
+	}
+	if now-l.lastPlan >= planInterval {
+		l.lastPlan = now
+		l.plan(now)
+	}
+	if now-l.lastMembership >= membershipInterval {
+		l.lastMembership = now
+		l.reconcileMembership(now)
+	}
+}
+
+// running reports whether this VM has a working replica.
+func (l *loop) running() bool { return l.replica != nil && !l.failed }
+
+// leading reports whether this VM may act as control leader now.
+func (l *loop) leading(now time.Duration) bool {
+	return l.running() && l.planner != nil && l.replica.LeaseValid(now)
+}
+
+// watchLeadership starts a planner when leadership begins and drops it, with
+// all waiting proposals, when leadership ends.
+func (l *loop) watchLeadership(now time.Duration) {
+	leads := l.replica.Role() == consensus.Leader && l.replica.ReadIndexReady()
+	switch {
+	case leads && l.planner == nil:
+		l.logger.WithFields(log.Fields{"vm": l.v.cfg.Name, "term": l.replica.Term()}).Info("control leadership gained")
+		l.planner = control.NewPlanner(l.v.cfg.Name)
+		l.planner.Elected(now)
+		l.recent, l.recentBase = nil, l.state.Version()
+	case !leads && l.planner != nil:
+		l.logger.WithField("vm", l.v.cfg.Name).Warn("control leadership lost")
+		l.planner = nil
+		for index, p := range l.waiting {
+			p.reply <- proposalResult{err: errkind.New(errkind.Internal, "control leadership was lost before the change was confirmed")}
+			delete(l.waiting, index)
+		}
+	}
+}
+
+// plan proposes what the planner decides.
+func (l *loop) plan(now time.Duration) {
+	if !l.replica.LeaseValid(now) {
+		return
+	}
+	for _, cmd := range l.planner.Plan(now, l.state) {
+		data, err := control.Encode(cmd)
+		if err != nil {
+			l.logger.WithError(err).Error("command cannot be encoded")
+			continue
+		}
+		if _, _, err := l.replica.Propose(now, data); err != nil {
+			return
+		}
+	}
+}
+
+// process carries out what the replica asks for: sync, send, apply.
+func (l *loop) process() {
+	for l.running() && l.replica.HasReady() {
+		ready := l.replica.Ready()
+		if !l.save(ready) {
+			return
+		}
+		l.send(ready.Messages)
+		before := l.state.Version()
+		commands := l.applyAll(ready.Committed)
+		l.replica.Advance(l.v.now(), ready)
+		l.push(before, commands)
+		l.compactLog()
+	}
+	l.publish()
+}
+
+// save syncs a Ready. After a failed write the replica is silent for good: it
+// must not acknowledge what may not be on disk.
+func (l *loop) save(r consensus.Ready) bool {
+	var err error
+	if r.Snapshot != nil {
+		err = l.store.SaveSnapshot(*r.Snapshot)
+	}
+	if err == nil && (r.HardState != nil || len(r.Entries) > 0) {
+		err = l.store.Save(r.HardState, r.Entries)
+	}
+	if err != nil {
+		l.fail(err, "storage failed, the replica stops acknowledging")
+		return false
+	}
+	if r.Snapshot != nil {
+		l.installSnapshot(*r.Snapshot)
+	}
+	return true
+}
+
+// fail silences the replica; the VM goes on as one without a replica.
+func (l *loop) fail(err error, message string) {
+	l.failed = true
+	l.storageFailed.Store(true)
+	l.planner = nil
+	l.logger.WithError(err).WithField("vm", l.v.cfg.Name).Error(message)
+}
+
+func (l *loop) installSnapshot(snap consensus.Snapshot) {
+	if snap.Index <= l.applied || len(snap.Data) == 0 {
+		return
+	}
+	state, err := control.Restore(snap.Data)
+	if err != nil {
+		l.fail(err, "snapshot cannot be restored, the replica stops")
+		return
+	}
+	l.state = state
+	l.applied, l.compact = snap.Index, snap.Index
+	l.recent, l.recentBase = nil, state.Version()
+	l.dirty = true
+}
+
+// applyAll applies committed entries and returns the commands among them.
+func (l *loop) applyAll(entries []consensus.Entry) []control.IndexedCommand {
+	var commands []control.IndexedCommand
+	for _, e := range entries {
+		l.applied = e.Index
+		if e.Type != consensus.EntryCommand || len(e.Data) == 0 {
+			l.answer(e, nil)
+			continue
+		}
+		result := l.apply(control.IndexedCommand{Index: e.Index, Data: e.Data})
+		l.answer(e, result)
+		commands = append(commands, control.IndexedCommand{Index: e.Index, Data: e.Data})
+	}
+	return commands
+}
+
+// apply changes the control state by one committed command.
+func (l *loop) apply(c control.IndexedCommand) any {
+	result, err := l.state.Apply(c.Index, c.Data)
+	if err != nil {
+		l.logger.WithError(err).WithField("index", c.Index).Warn("command refused")
+	}
+	l.dirty = true
+	l.recent = append(l.recent, c)
+	if len(l.recent) > recentCommands {
+		drop := len(l.recent) - recentCommands/2
+		l.recentBase = l.recent[drop-1].Index
+		l.recent = append([]control.IndexedCommand(nil), l.recent[drop:]...)
+	}
+	if l.planner != nil {
+		if cmd, err := control.Decode(c.Data); err == nil {
+			l.planner.Applied(l.state, cmd)
+		}
+	}
+	return result
+}
+
+// answer tells a waiting proposal what became of it. Another term at its index
+// means that another leader's entry took its place.
+func (l *loop) answer(e consensus.Entry, result any) {
+	p, ok := l.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(l.waiting, e.Index)
+	if p.term != e.Term {
+		p.reply <- proposalResult{err: errkind.New(errkind.Internal, "control leadership was lost before the change was confirmed")}
+		return
+	}
+	change, _ := result.(*control.ChangeResult)
+	p.reply <- proposalResult{change: change}
+}
+
+// push sends commands to the VMs that hold no replica, so that a change is in
+// force there before their next heartbeat.
+func (l *loop) push(before uint64, commands []control.IndexedCommand) {
+	if len(commands) == 0 || l.planner == nil {
+		return
+	}
+	payload, err := msgpack.Marshal(pushed{Before: before, Commands: commands})
+	if err != nil {
+		return
+	}
+	for _, vm := range l.state.Table().VMs() {
+		if vm.Name != l.v.cfg.Name && l.replicaOf[vm.Name] == "" {
+			l.v.links.Send(vm.Name, methodPush, payload)
+		}
+	}
+}
+
+// publish makes a changed state visible to traffic. The lease of a renewal
+// that came with the state starts after the state is in force.
+func (l *loop) publish() {
+	if l.dirty {
+		l.dirty = false
+		table := l.state.Table()
+		l.v.version.Store(l.state.Version())
+		if l.v.table.Swap(table) != table {
+			l.connectVMs(table)
+			l.v.dispatcher.Update(table)
+		}
+	}
+	if l.pending.until > 0 && l.state.Version() >= l.pending.version {
+		l.v.lease.extend(l.pending.until)
+		l.pending = pendingLease{}
+	}
+}
+
+func (l *loop) connectVMs(table *control.Table) {
+	for _, vm := range table.VMs() {
+		if vm.Name != l.v.cfg.Name {
+			l.v.links.SetPeer(vm.Name, vm.LinkAddr)
+		}
+	}
+}
+
+// compactLog replaces applied entries by a snapshot from time to time.
+func (l *loop) compactLog() {
+	if l.applied-l.compact < compactEvery {
+		return
+	}
+	data, err := l.state.Snapshot()
+	if err != nil {
+		l.logger.WithError(err).Error("snapshot cannot be written")
+		return
+	}
+	l.compact = l.applied
+	l.replica.Compact(l.applied, data)
+}
+
+func (l *loop) send(messages []consensus.Message) {
+	for _, m := range messages {
+		payload, err := msgpack.Marshal(m)
+		if err != nil {
+			l.logger.WithError(err).Error("message cannot be encoded")
+			continue
+		}
+		l.v.links.Send(vmOf(m.To), methodReplica, payload)
+	}
+}
+
+// renewed takes in the answer to a heartbeat.
+func (l *loop) renewed(r control.Renewal) {
+	if !l.running() {
+		l.catchUp(r)
+	}
+	if r.Granted {
+		l.pending = pendingLease{version: r.Version, until: r.SentAt + contract.VMLease}
+	}
+}
+
+// catchUp applies the commands that came with a renewal on a VM without a
+// working replica.
+func (l *loop) catchUp(r control.Renewal) {
+	if len(r.Snapshot) > 0 {
+		if state, err := control.Restore(r.Snapshot); err == nil && state.Version() > l.state.Version() {
+			l.state = state
+			l.dirty = true
+		}
+	}
+	l.applyNew(r.Commands)
+}
+
+func (l *loop) applyNew(commands []control.IndexedCommand) {
+	for _, c := range commands {
+		if c.Index > l.state.Version() {
+			l.apply(c)
+		}
+	}
+}
+
+// pushed carries commands that follow state version Before.
+type pushed struct {
+	Before   uint64                   `msgpack:"b"`
+	Commands []control.IndexedCommand `msgpack:"c"`
+}
+
+// pushReceived applies pushed commands if none is missing before them.
+func (l *loop) pushReceived(p pushed) {
+	if !l.running() && l.state.Version() >= p.Before {
+		l.applyNew(p.Commands)
+	}
+}
+
+// close releases the data directory.
+func (l *loop) close() {
+	if l.store != nil {
+		_ = l.store.Close()
+	}
+}
--- /dev/null
+++ b/internal/vm/replica.go
@@ -0,0 +1,224 @@
+package vm
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/flamingoreel/flamingoreel/internal/consensus"
+	"github.com/flamingoreel/flamingoreel/internal/storage"
+)
+
+// Time limits of the replica. The leader lease is shorter than the shortest
+// election timeout, so that it has run out before another leader can exist.
+const (
+	replicaHeartbeat = 50 * time.Millisecond
+	electionMin      = 200 * time.Millisecond
+	electionMax      = 300 * time.Millisecond
+	leaderLease      = 150 * time.Millisecond
+	// maxAppendBytes bounds one append, so that a lagging replica does not
+	// delay heartbeats.
+	maxAppendBytes = 256 << 10
+	// formInterval is the time between two attempts to form or join the log.
+	formInterval = 200 * time.Millisecond
+)
+
+// vmOf returns the VM of a replica ID, which is "VM name/identity".
+func vmOf(replicaID string) string {
+	name, _, _ := strings.Cut(replicaID, "/")
+	return name
+}
+
+// openStorage opens the data directory. An empty one gets a new identity, so
+// that a replica that lost its disk never votes under the name of the old one.
+func (l *loop) openStorage() error {
+	store, recovered, err := storage.Open(l.v.cfg.DataDir)
+	if err != nil {
+		return err
+	}
+	l.store, l.recovered = store, recovered
+	l.replicaID = recovered.ReplicaID
+	if l.replicaID != "" {
+		return nil
+	}
+	identity := make([]byte, 8)
+	if _, err := rand.Read(identity); err != nil {
+		return err
+	}
+	l.replicaID = l.v.cfg.Name + "/" + hex.EncodeToString(identity)
+	return store.SetReplicaID(l.replicaID)
+}
+
+// replicaInfo answers a probe: who this replica is and, once it takes part in
+// a log, which members it knows.
+type replicaInfo struct {
+	ReplicaID  string                `msgpack:"r"`
+	Membership *consensus.Membership `msgpack:"m"`
+}
+
+func (l *loop) describeReplica() replicaInfo {
+	info := replicaInfo{ReplicaID: l.replicaID}
+	if l.replica != nil {
+		m := l.replica.Membership()
+		info.Membership = &m
+	}
+	return info
+}
+
+// formReplica starts the replica: at once from a log, else by adopting the
+// membership that another voter knows, else by forming a new log.
+func (l *loop) formReplica(ctx context.Context) {
+	if l.replicaID == "" {
+		return
+	}
+	if !l.recovered.Fresh {
+		l.post(func() { l.startReplica(consensus.Membership{}) })
+		return
+	}
+	for {
+		if m, ok := l.findMembership(ctx); ok {
+			l.post(func() { l.startReplica(m) })
+			return
+		}
+		if !pause(ctx, formInterval) {
+			return
+		}
+	}
+}
+
+// findMembership asks the other voters. A new log is formed only by the first
+// voter by name and only when every voter answers that it has none, so that
+// two logs are never formed.
+func (l *loop) findMembership(ctx context.Context) (consensus.Membership, bool) {
+	fresh := []string{l.replicaID}
+	for _, voter := range l.v.cfg.Voters {
+		if voter == l.v.cfg.Name {
+			continue
+		}
+		info, err := l.probeReplica(ctx, voter)
+		if err != nil || info.ReplicaID == "" {
+			continue
+		}
+		if info.Membership != nil {
+			return l.joinable(*info.Membership), true
+		}
+		fresh = append(fresh, info.ReplicaID)
+	}
+	voters := slices.Clone(l.v.cfg.Voters)
+	sort.Strings(voters)
+	complete := len(fresh) == len(voters)
+	if !l.v.cfg.Bootstrap || !complete || voters[0] != l.v.cfg.Name {
+		return consensus.Membership{}, false
+	}
+	sort.Strings(fresh)
+	return consensus.Membership{Voters: fresh}, true
+}
+
+// joinable returns the membership to start with: the known one if this replica
+// is a member, else none; the leader then adds it as a learner.
+func (l *loop) joinable(m consensus.Membership) consensus.Membership {
+	if slices.Contains(m.Voters, l.replicaID) || slices.Contains(m.Learners, l.replicaID) {
+		return m
+	}
+	return consensus.Membership{}
+}
+
+func (l *loop) probeReplica(ctx context.Context, vm string) (replicaInfo, error) {
+	ctx, cancel := context.WithTimeout(ctx, formInterval)
+	defer cancel()
+	var info replicaInfo
+	data, err := l.v.links.Call(ctx, vm, methodProbe, nil)
+	if err != nil {
+		return info, err
+	}
+	return info, msgpack.Unmarshal(data, &info)
+}
+
+// startReplica starts the replica from what storage recovered.
+func (l *loop) startReplica(initial consensus.Membership) {
+	l.keepMembership(initial)
+	r := l.recovered
+	replica, err := consensus.New(consensus.Config{
+		ID: l.replicaID, HeartbeatInterval: replicaHeartbeat,
+		ElectionMin: electionMin, ElectionMax: electionMax, LeaderLease: leaderLease,
+		Seed: l.v.cfg.Seed, MaxAppendBytes: maxAppendBytes,
+	}, initial, r.HardState, r.Snapshot, r.Entries)
+	if err != nil {
+		l.fail(err, "replica cannot start")
+		return
+	}
+	if r.Snapshot != nil {
+		l.installSnapshot(*r.Snapshot)
+	}
+	l.replica = replica
+	l.recovered = storage.Recovered{}
+	l.logger.WithFields(log.Fields{"replica": l.replicaID, "voters": len(replica.Membership().Voters)}).Info("replica started")
+}
+
+// keepMembership saves the initial membership as a snapshot at index 0, so
+// that a restart before the first snapshot knows it.
+func (l *loop) keepMembership(m consensus.Membership) {
+	if len(m.Voters) == 0 || !l.recovered.Fresh {
+		return
+	}
+	if err := l.store.SaveSnapshot(consensus.Snapshot{Membership: m}); err != nil {
+		l.fail(err, "initial membership cannot be saved")
+	}
+}
+
+// reconcileMembership brings the members in line with the voters of the
+// settings, one change at a time: a replica that came back under a new
+// identity replaces its predecessor, first as a learner.
+func (l *loop) reconcileMembership(now time.Duration) {
+	if !l.replica.LeaseValid(now) {
+		return
+	}
+	next, changed := nextMembership(l.replica.Membership(), l.v.cfg.Voters, l.replicaOf)
+	if !changed {
+		return
+	}
+	if _, _, err := l.replica.ProposeMembership(now, next); err != nil {
+		l.logger.WithError(err).Debug("membership change postponed")
+	}
+}
+
+// nextMembership returns the next membership on the way to one voter for each
+// VM that should vote. replicaOf maps VMs to the replica that they report.
+func nextMembership(m consensus.Membership, vms []string, replicaOf map[string]string) (consensus.Membership, bool) {
+	for _, vm := range vms {
+		id := replicaOf[vm]
+		if id == "" || slices.Contains(m.Voters, id) {
+			continue
+		}
+		if slices.Contains(m.Learners, id) {
+			return promote(m, id), true
+		}
+		return replacePredecessor(m, vm, id), true
+	}
+	return m, false
+}
+
+// replacePredecessor drops the earlier replica of the VM, or adds the new one
+// as a learner when there is none left.
+func replacePredecessor(m consensus.Membership, vm, id string) consensus.Membership {
+	isOld := func(member string) bool { return vmOf(member) == vm }
+	if slices.ContainsFunc(m.Voters, isOld) {
+		return consensus.Membership{Voters: slices.DeleteFunc(slices.Clone(m.Voters), isOld), Learners: m.Learners}
+	}
+	learners := slices.DeleteFunc(slices.Clone(m.Learners), isOld)
+	return consensus.Membership{Voters: m.Voters, Learners: append(learners, id)}
+}
+
+func promote(m consensus.Membership, id string) consensus.Membership {
+	isID := func(member string) bool { return member == id }
+	voters := append(slices.Clone(m.Voters), id)
+	sort.Strings(voters)
+	return consensus.Membership{Voters: voters, Learners: slices.DeleteFunc(slices.Clone(m.Learners), isID)}
+}
