Add the text parser and the stand-in target

The operators' text had types but no reader, and there was no target to run the system against. text.Parse reports all faults of a text at once with line and column; Diff and Changes show a change before it is applied. The stand-in target speaks the published target protocol, checks fence, epoch and expiry of its grants, and can freeze, crash, slow down, turn cold, drain and shed load.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,92 @@
+// Command standin runs a stand-in target for demos, tests and load runs. It
+// keeps all state in memory.
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingoreel/flamingoreel/internal/standin"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+	// exitCrash is the code after a crash that was asked for.
+	exitCrash = 70
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run returns the exit code.
+func run(ctx context.Context, args []string, stderr io.Writer) int {
+	log.SetHandler(newHandler(stderr))
+	code := exitOK
+	cmd := &cli.Command{
+		Name:            "standin",
+		Usage:           "a stand-in target",
+		Flags:           flags(),
+		HideHelpCommand: true,
+		ErrWriter:       stderr,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			code = serve(ctx, c, stderr)
+			return nil
+		},
+	}
+	if err := cmd.Run(ctx, args); err != nil {
+		log.WithError(err).Error("settings refused")
+		return exitSettings
+	}
+	return code
+}
+
+// serve runs the target until ctx ends, then drains it.
+func serve(ctx context.Context, c *cli.Command, stderr io.Writer) int {
+	cfg, faults := settings(c)
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			_, _ = io.WriteString(stderr, fault+"\n")
+		}
+		return exitSettings
+	}
+	cfg.Exit = func() { os.Exit(exitCrash) }
+	target, err := standin.Start(cfg)
+	if err != nil {
+		log.WithError(err).Error("start failed")
+		return exitFailed
+	}
+	defer target.Close()
+	fields := log.Fields{"id": cfg.ID, "service": cfg.Service, "data_centre": cfg.DataCentre, "addr": target.Addr()}
+	log.WithFields(fields).Info("target started")
+	<-ctx.Done()
+	drain(target, c.Duration("drain-grace"), c.Duration("drain-timeout"))
+	log.WithFields(fields).Info("target stopped")
+	return exitOK
+}
+
+// drain lets the system move the target's slices for the grace period, then
+// refuses new work and waits for running work.
+func drain(target *standin.Target, grace, timeout time.Duration) {
+	target.Drain(grace)
+	time.Sleep(grace)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := target.WaitIdle(ctx); err != nil {
+		log.WithError(err).Warn("work still ran at the drain timeout")
+	}
+}
--- /dev/null
+++ b/internal/text/text_test.go
@@ -0,0 +1,102 @@
+package text
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// minimal is the smallest valid text.
+const minimal = `
+name: zdbs
+regions:
+  - name: osrednja
+    data_centres: [{name: lj-a}, {name: lj-b, state: out}]
+services:
+  - {name: ledger, ownership: exclusive, endpoints: 17, slots: 6, connections: 110}
+`
+
+// A changed default would change behaviour for every deployment that relies
+// on it.
+func TestParseFillsInDefaults(t *testing.T) {
+	got, faults := Parse([]byte(minimal))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	s := got.Services[0]
+	if got.RecordRetention != time.Hour || s.Slices != 64 || s.QueueLimit != 48 || s.ColdSlots != 1 ||
+		s.Weights != (Weights{Churn: 1, Balance: 1}) || s.MaxMovesPerSecond != 50 {
+		t.Errorf("service defaults: %+v, retention %s", s, got.RecordRetention)
+	}
+	if got.Limits != (Limits{1 << 20, 16 << 20, 2 * time.Second, 0.1, 0.05}) {
+		t.Errorf("limits: %+v", got.Limits)
+	}
+	if dcs := got.Regions[0].DataCentres; dcs[0].State != In || dcs[1].State != Out {
+		t.Errorf("data centres: %+v", dcs)
+	}
+}
+
+// Each file under testdata/faults must give exactly the faults of its golden
+// file: a missing fault lets a harmful text through, and a wrong place sends
+// the operator to the wrong line.
+func TestParseFaults(t *testing.T) {
+	files, err := filepath.Glob("testdata/faults/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, faults := Parse(data)
+		if got != nil || len(faults) == 0 {
+			t.Errorf("%s: accepted", file)
+		}
+		var out strings.Builder
+		for _, f := range faults {
+			fmt.Fprintln(&out, f)
+		}
+		goldie.New(t, goldie.WithFixtureDir("testdata/faults")).Assert(t, strings.TrimSuffix(filepath.Base(file), ".yaml"), []byte(out.String()))
+	}
+}
+
+// A text over the size limit must be refused before it is read.
+func TestParseTooLarge(t *testing.T) {
+	_, faults := Parse([]byte(strings.Repeat("#", MaxBytes+1)))
+	if len(faults) != 1 || faults[0].Kind != TooLarge {
+		t.Error(faults)
+	}
+}
+
+// Deep nesting must not exhaust the stack of the recursive YAML parser.
+func TestParseDeepNesting(t *testing.T) {
+	const size = 100_000
+	for _, unit := range []string{"[", "{", "{a: ", "- ", "? ", "!t ", "&a ", "a: "} {
+		if _, faults := Parse([]byte(strings.Repeat(unit, size/len(unit)))); len(faults) == 0 {
+			t.Errorf("%q accepted", unit)
+		}
+	}
+}
+
+// An operator must see every change before applying it, and no change where
+// there is none.
+func TestChanges(t *testing.T) {
+	old, _ := Parse([]byte(minimal))
+	if got := Changes(old, old); len(got) != 0 {
+		t.Error(got)
+	}
+	changed := strings.NewReplacer("state: out", "state: in", "slots: 6", "slots: 4, depends_on: [books]").Replace(minimal) +
+		"  - {name: books, ownership: any, endpoints: 1, slots: 1, connections: 1}\ntenants: [{name: '*', home_regions: [osrednja]}]\nretired_targets: [ledger-1]\n"
+	updated, faults := Parse([]byte(changed))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	goldie.New(t).Assert(t, "changes", []byte(strings.Join(Changes(old, updated), "\n")+"\n"))
+	goldie.New(t).Assert(t, "diff", []byte(Diff([]byte(minimal), []byte(changed))))
+}
