--- /dev/null
+++ b/internal/record/call.go
@@ -0,0 +1,39 @@
+package record
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// call sends one request with its own time limit and decodes the reply.
+func call(ctx context.Context, t Transport, limit time.Duration, vm, method string, request, reply any) error {
+	payload, err := encode(request)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answer, err := t.Call(ctx, vm, method, payload)
+	if err != nil {
+		return err
+	}
+	return decode(answer, reply)
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jitter returns a random duration between d/2 and 3d/2.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -1,5 +1,3 @@
-// Package record keeps the records by which a non-idempotent request runs at
-// most once: a store on each holder VM and a coordinator on the dispatcher.
 package record
 
 import (
@@ -49,8 +47,22 @@
 	Full
 	// Mismatch: the ID was used for a request with another fingerprint.
 	Mismatch
+	// Aborted: the holder refuses this attempt for good.
+	Aborted
+	// Absent answers a query: the holder is ready and stores no attempt.
+	Absent
+	stateCount
 )
 
+// String returns the name of the state as metrics use it.
+func (s State) String() string {
+	names := [stateCount]string{"granted", "started", "finished", "not_ready", "full", "mismatch", "aborted", "absent"}
+	if s < stateCount {
+		return names[s]
+	}
+	return "invalid"
+}
+
 // StartRequest asks a holder to store an attempt.
 type StartRequest struct {
 	ID      ID      `msgpack:"i"`
@@ -61,6 +73,10 @@
 	FirstSent int64 `msgpack:"f"`
 	// Retention is how long the record is kept.
 	Retention time.Duration `msgpack:"r"`
+	// Holders are the holders of every holder set that the attempt asks.
+	Holders [][]string `msgpack:"h"`
+	// Query asks for the state only; nothing is stored.
+	Query bool `msgpack:"q"`
 }
 
 // StartReply is the holder's answer.
@@ -68,6 +84,20 @@
 	State   State   `msgpack:"s"`
 	Attempt Attempt `msgpack:"a"`
 	Answer  *Answer `msgpack:"w"`
+	// Holders are the holder sets of the stored attempt.
+	Holders [][]string `msgpack:"h"`
+	// Proof tells which incarnations of holders the reply depends on.
+	Proof Proof `msgpack:"p"`
+}
+
+// Proof lets a coordinator discard replies that a holder gave before it lost
+// its memory.
+type Proof struct {
+	// Incarnation is the unix time in ms at which the holder started.
+	Incarnation int64 `msgpack:"i"`
+	// Seen maps holders that began to copy records from this one to their
+	// incarnation at that time.
+	Seen map[string]int64 `msgpack:"s"`
 }
 
 // Transport carries calls to holders; VM names may be the local one.
