--- /dev/null
+++ b/cmd/flamingoreelbench/main.go
@@ -0,0 +1,121 @@
+// Command flamingoreelbench sends a bounded load to running VMs and reports
+// what callers and operators see. It starts no process and injects no fault;
+// scripts do.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingoreel/flamingoreel/internal/load"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "flamingoreelbench:", err)
+		os.Exit(1)
+	}
+}
+
+func env(flag string) cli.ValueSourceChain {
+	return cli.EnvVars("FLAMINGOREEL_BENCH_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "flamingoreelbench",
+		Usage: "send a bounded load to VMs and report what callers see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "entries", Usage: "base URLs of VMs for callers, separated by commas", Sources: env("entries")},
+			&cli.StringFlag{Name: "admins", Usage: "admin base URLs of VMs, separated by commas", Sources: env("admins")},
+			&cli.StringFlag{Name: "streams", Usage: "SERVICE:TENANT:SHARE:POST_SHARE:KEYS:HOT, separated by commas", Sources: env("streams")},
+			&cli.FloatFlag{Name: "rate", Value: 500, Usage: "requests a second", Sources: env("rate")},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "length of the run", Sources: env("duration")},
+			&cli.DurationFlag{Name: "deadline", Value: 2 * time.Second, Usage: "deadline of a request", Sources: env("deadline")},
+			&cli.IntFlag{Name: "resends", Value: 3, Usage: "resends of a posting without an answer", Sources: env("resends")},
+			&cli.IntFlag{Name: "max-in-flight", Value: 2000, Usage: "bound of requests in flight", Sources: env("max-in-flight")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of keys and entries", Sources: env("seed")},
+			&cli.StringFlag{Name: "journals", Usage: "journals of the targets for the audit, separated by commas", Sources: env("journals")},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	streams, err := readStreams(c.String("streams"))
+	if err != nil {
+		return err
+	}
+	watch := load.NewWatch(split(c.String("admins")))
+	watchCtx, stop := context.WithCancel(ctx)
+	watched := make(chan struct{})
+	go func() {
+		watch.Run(watchCtx)
+		close(watched)
+	}()
+	result, err := load.Run(ctx, load.Config{
+		Entries: split(c.String("entries")), Streams: streams,
+		Rate: c.Float("rate"), Duration: c.Duration("duration"), Deadline: c.Duration("deadline"),
+		Resends: c.Int("resends"), MaxInFlight: c.Int("max-in-flight"), Seed: c.Uint64("seed"),
+	})
+	stop()
+	<-watched
+	if err != nil {
+		return err
+	}
+	load.Report(os.Stdout, result, watch)
+	return audit(result, split(c.String("journals")))
+}
+
+// audit fails the run when a posting was lost, doubled or falsely refused.
+func audit(result *load.Result, journals []string) error {
+	if len(journals) == 0 {
+		return nil
+	}
+	a, err := load.Compare(result.Postings(), journals)
+	if err != nil {
+		return err
+	}
+	a.Write(os.Stdout)
+	if !a.Passed() {
+		return errors.New("the audit failed")
+	}
+	return nil
+}
+
+// readStreams reads SERVICE:TENANT:SHARE:POST_SHARE:KEYS:HOT items.
+func readStreams(list string) ([]load.Stream, error) {
+	var streams []load.Stream
+	for _, item := range split(list) {
+		parts := strings.Split(item, ":")
+		if len(parts) != 6 {
+			return nil, fmt.Errorf("stream %q is not SERVICE:TENANT:SHARE:POST_SHARE:KEYS:HOT", item)
+		}
+		share, err1 := strconv.ParseFloat(parts[2], 64)
+		post, err2 := strconv.ParseFloat(parts[3], 64)
+		keys, err3 := strconv.Atoi(parts[4])
+		hot, err4 := strconv.ParseFloat(parts[5], 64)
+		if err := errors.Join(err1, err2, err3, err4); err != nil {
+			return nil, fmt.Errorf("stream %q: %w", item, err)
+		}
+		streams = append(streams, load.Stream{Service: parts[0], Tenant: parts[1], Share: share, PostShare: post, Keys: keys, Hot: hot, Path: "/"})
+	}
+	return streams, nil
+}
+
+func split(list string) []string {
+	var out []string
+	for _, item := range strings.Split(list, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			out = append(out, item)
+		}
+	}
+	return out
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,7 +15,6 @@
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/dispatch"
 	"github.com/flamingoreel/flamingoreel/internal/record"
-	"github.com/flamingoreel/flamingoreel/internal/tenant"
 )
 
 // LateAnswerWait is how long after its deadline a non-idempotent request may
@@ -47,7 +46,6 @@
 	cfg     Config
 	crashes *dispatch.Crashes
 	metrics *metrics
-	tenants *tenant.Labels
 
 	mu      sync.RWMutex
 	workers map[string]*worker
@@ -64,7 +62,6 @@
 		cfg:     cfg,
 		crashes: dispatch.NewCrashes(),
 		metrics: newMetrics(cfg.Registry),
-		tenants: tenant.NewLabels(),
 		workers: make(map[string]*worker),
 		ctx:     ctx,
 		cancel:  cancel,
@@ -132,7 +129,7 @@
 }
 
 // MergeSuspicions takes in crash suspicions of another VM.
-func (d *Dispatcher) MergeSuspicions(s []dispatch.Suspicion) { d.crashes.Merge(s) }
+func (d *Dispatcher) MergeSuspicions(s []dispatch.Suspicion) { d.crashes.Merge(d.cfg.Now(), s) }
 
 // WaitBackground waits until no answer is awaited any more or ctx ends.
 func (d *Dispatcher) WaitBackground(ctx context.Context) {
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -24,6 +24,9 @@
 	fingerprint uint64
 	hash        uint64
 	arrived     time.Duration
+	// alone says that the request runs without company, because it was in
+	// flight when a target crashed.
+	alone bool
 }
 
 // Serve runs a request on its target and returns the whole answer. An error
@@ -34,16 +37,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.crashes.Refused(j.fingerprint) {
+	if d.crashes.Refused(d.cfg.Now(), j.fingerprint) {
 		return nil, errkind.New(errkind.KnownCrasher, "this request crashed two targets")
 	}
+	j.alone = d.crashes.Alone(d.cfg.Now(), j.fingerprint)
 	slot, err := j.worker.gate.Acquire(ctx, d.ticket(ctx, j))
 	if err != nil {
 		return nil, err
 	}
 	d.metrics.observe(d.metrics.queue, j, d.cfg.Now()-j.arrived)
 	if err := j.worker.begin(req.Slice, req.Fence, j.hash); err != nil {
-		slot.Release(dispatch.Result{Unused: true})
+		slot.Release(dispatch.Result{})
 		return nil, err
 	}
 	if req.Idempotent() {
@@ -96,13 +100,14 @@
 	if t, ok := j.table.Tenant(j.req.Tenant); ok {
 		share = t.Share
 	}
+	class, _ := dispatch.ParseClass(string(j.req.Class))
 	return dispatch.Ticket{
 		Tenant:      j.req.Tenant,
-		Class:       dispatch.Class(j.req.Class),
+		Class:       class,
 		Share:       share,
 		Deadline:    d.cfg.Now() + remaining(ctx, j.table),
 		Fingerprint: j.fingerprint,
-		Alone:       d.crashes.Suspected(j.fingerprint),
+		Alone:       j.alone,
 	}
 }
 
@@ -133,15 +138,15 @@
 	})
 	if err != nil || stored != nil {
 		j.worker.end(j.req.Slice)
-		slot.Release(dispatch.Result{Unused: true})
+		slot.Release(dispatch.Result{})
 		if err != nil {
 			return nil, err
 		}
-		return StoredReply(stored)
+		return storedReply(stored), nil
 	}
 	if err := ctx.Err(); err != nil {
 		j.worker.end(j.req.Slice)
-		slot.Release(dispatch.Result{Unused: true})
+		slot.Release(dispatch.Result{})
 		running.Abort(context.WithoutCancel(ctx))
 		return nil, errkind.New(errkind.QueueTimeout, "the deadline passed before the request was sent")
 	}
@@ -181,12 +186,9 @@
 	}
 }
 
-// StoredReply returns the answer kept in a record.
-func StoredReply(a *record.Answer) (*relay.Reply, *errkind.Error) {
-	if a.Dropped {
-		return nil, errkind.New(errkind.AnswerNotKept, "the request ran; its answer was too large to keep")
-	}
-	return &relay.Reply{Status: a.Status, Header: a.Header, Body: a.Body, Stored: true}, nil
+// storedReply returns the answer kept in a record.
+func storedReply(a *record.Answer) *relay.Reply {
+	return &relay.Reply{Status: a.Status, Header: a.Header, Body: a.Body, Stored: true}
 }
 
 // send does one exchange with the target and releases the slot.
@@ -196,22 +198,25 @@
 	latency := d.cfg.Now() - started
 	if err != nil {
 		e := errkind.From(err)
-		crashed := e.Kind == errkind.TargetLost
-		slot.Release(dispatch.Result{Latency: latency, Crashed: crashed, Unused: e.Outcome() == errkind.NotRun})
-		if crashed {
-			d.suspect(j, slot)
+		if e.Kind == errkind.TargetLost {
+			d.suspect(j)
 		}
+		slot.Release(dispatch.Result{Latency: latency, Crashed: e.Kind == errkind.TargetLost})
 		d.metrics.failed(j, e.Kind)
 		return nil, e
 	}
 	slot.Release(dispatch.Result{Latency: latency, OK: resp.Status < http.StatusInternalServerError})
+	if j.alone {
+		d.crashes.Clear(j.fingerprint)
+	}
 	d.metrics.observe(d.metrics.service, j, latency)
 	return &relay.Reply{Status: resp.Status, Header: resp.Header, Body: resp.Body, Target: j.req.Target}, nil
 }
 
-// suspect notes that the target's connection broke while the request ran.
-func (d *Dispatcher) suspect(j *job, slot *dispatch.Slot) {
-	d.crashes.Suspect(d.cfg.Now(), j.fingerprint, j.req.Target, j.worker.incarnation())
+// suspect notes that the target's connection broke while the request ran,
+// before the request releases its slot, so that all requests in flight count.
+func (d *Dispatcher) suspect(j *job) {
+	d.crashes.Crash(d.cfg.Now(), j.req.Target, j.worker.incarnation(), j.worker.gate.InFlight())
 	if fresh := d.crashes.Drain(); len(fresh) > 0 && d.cfg.ShareSuspicions != nil {
 		d.cfg.ShareSuspicions(fresh)
 	}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -49,7 +49,7 @@
 	w := &worker{
 		d:        d,
 		client:   target.NewClient(c.Target.Address, c.Service.Slots+spareConnections, d.cfg.Dial),
-		gate:     dispatch.NewGate(gateLimits(c)),
+		gate:     dispatch.NewGateWithClock(gateLimits(c), d.cfg.Now),
 		kick:     make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		renewer:  target.NewRenewer(d.cfg.Now(), c.Target.ID, c.Target.Incarnation, d.cfg.VM, c.Dispatch.Epoch, c.Target.ChecksGrants),
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -7,6 +7,7 @@
 
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/record"
 	"github.com/flamingoreel/flamingoreel/internal/relay"
 	"github.com/flamingoreel/flamingoreel/internal/text"
 )
@@ -126,18 +127,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
 	defer cancel()
-	found, lookupErr := e.cfg.Records.Lookup(ctx, req.ID(), table.HolderSets(req.Residency))
+	found, lookupErr := e.cfg.Records.Lookup(ctx, record.BeginRequest{
+		ID: req.ID(), Fingerprint: req.Fingerprint(), FirstSent: req.FirstSent,
+		Retention: table.Text().RecordRetention, HolderSets: table.HolderSets(req.Residency),
+	})
 	switch {
+	case lookupErr != nil && lookupErr.Outcome() == errkind.Unknown:
+		return nil, lookupErr
 	case lookupErr != nil:
-		return nil, errkind.Wrap(errkind.EarlierUnknown, err, "this request did not run (%s); whether an earlier one with the same key ran is not known", err.Kind)
+		return nil, errkind.Wrap(errkind.EarlierUnknown, lookupErr, "this request did not run (%s); whether an earlier one with the same key ran is not known", err.Kind)
 	case found == nil:
 		return nil, err
 	case found.Answer == nil:
 		return nil, errkind.New(errkind.StartedElsewhere, "an earlier request with the same key was started; its answer is not known")
-	case found.Answer.Dropped:
-		return nil, errkind.New(errkind.AnswerNotKept, "the request ran; its answer was too large to keep")
 	}
-	return &relay.Reply{Status: found.Answer.Status, Header: found.Answer.Header, Body: found.Answer.Body, Stored: true}, nil
+	return storedReply(found.Answer), nil
+}
+
+// storedReply returns the answer kept in a record.
+func storedReply(a *record.Answer) *relay.Reply {
+	return &relay.Reply{Status: a.Status, Header: a.Header, Body: a.Body, Stored: true}
 }
 
 // sleep waits for d and reports whether ctx is still alive and leaves time for
--- a/internal/record/coordinator.go
+++ b/internal/record/coordinator.go
@@ -87,18 +87,26 @@
 // earlier attempt, or an error. Exactly one result is not nil. An error with
 // outcome not_run means that neither this attempt nor one seen by it may run.
 func (c *Coordinator) Begin(ctx context.Context, b BeginRequest) (*Running, *Answer, *errkind.Error) {
-	if err := b.check(time.Now().UnixMilli()); err != nil {
+	s, err := c.newSession(b)
+	if err != nil {
 		return nil, nil, err
 	}
+	return s.run(ctx)
+}
+
+// newSession checks a request and picks its holders.
+func (c *Coordinator) newSession(b BeginRequest) (*session, *errkind.Error) {
+	if err := b.check(time.Now().UnixMilli()); err != nil {
+		return nil, err
+	}
 	sets := make([][]string, len(b.HolderSets))
 	for i, candidates := range b.HolderSets {
 		sets[i] = Holders(b.ID, candidates)
 	}
 	if len(sets) == 0 || slices.ContainsFunc(sets, func(s []string) bool { return len(s) == 0 }) {
-		return nil, nil, errkind.New(errkind.RecordUnavailable, "no record holders are known")
+		return nil, errkind.New(errkind.RecordUnavailable, "no record holders are known")
 	}
-	s := &session{coordinator: c, request: b, sets: sets, holders: union(sets), backoff: minBackoff}
-	return s.run(ctx)
+	return &session{coordinator: c, request: b, sets: sets, holders: union(sets), backoff: minBackoff}, nil
 }
 
 // session is one call of Begin, which may need several attempts.
--- a/internal/record/messages.go
+++ b/internal/record/messages.go
@@ -16,6 +16,9 @@
 	MethodCopy   = "record.copy"
 )
 
+// Methods lists all methods that a holder serves.
+var Methods = []string{MethodStart, MethodFinish, MethodAbort, MethodCopy}
+
 // FinishRequest stores the answer of a Running attempt. The reply is empty.
 type FinishRequest struct {
 	ID          ID            `msgpack:"i"`
