--- /dev/null
+++ b/internal/link/call.go
@@ -0,0 +1,108 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+)
+
+// Call sends a request to a peer and returns the handler's answer. The payload
+// must not change until Call returns.
+//
+// Errors are *errkind.Error: LinkDown when no byte of the request left,
+// Overloaded when too many calls are in flight here or at the peer, LinkLost
+// when the request may have arrived, AnswerTimeout when ctx ended after the
+// request was sent, and otherwise the handler's error.
+func (n *Node) Call(ctx context.Context, to, method string, payload []byte) ([]byte, error) {
+	if err := n.checkRequest(ctx, to, method, payload); err != nil {
+		return nil, err
+	}
+	if to == n.cfg.Name {
+		return n.callSelf(ctx, method, payload)
+	}
+	p := n.lookup(to)
+	if p == nil {
+		return nil, linkDown(to, errUnknownPeer)
+	}
+	c, err := p.connection(ctx)
+	if err != nil {
+		return nil, linkDown(to, err)
+	}
+	k, failed := c.start(ctx, method, payload)
+	if failed != nil {
+		return nil, failed
+	}
+	r := c.wait(ctx, k)
+	if r.err != nil {
+		return nil, r.err
+	}
+	return r.payload, nil
+}
+
+// checkRequest refuses what must not be sent.
+func (n *Node) checkRequest(ctx context.Context, to, method string, payload []byte) error {
+	if err := ctx.Err(); err != nil {
+		return linkDown(to, err)
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return linkDown(to, context.DeadlineExceeded)
+	}
+	if method == "" || len(method) > maxName {
+		return errkind.New(errkind.BadRequest, "method name of %d bytes", len(method))
+	}
+	if len(payload) > n.cfg.MaxMessage {
+		return errkind.New(errkind.BadRequest, "request of %d bytes, at most %d", len(payload), n.cfg.MaxMessage)
+	}
+	return nil
+}
+
+// Send sends a one-way message if there is a link to the peer and room in its
+// queue; otherwise the message is dropped and counted. The payload must not
+// change afterwards. Messages may arrive in another order.
+func (n *Node) Send(to, method string, payload []byte) {
+	if n.checkRequest(context.Background(), to, method, payload) != nil {
+		return
+	}
+	if to == n.cfg.Name {
+		n.sendSelf(method, payload)
+		return
+	}
+	p := n.lookup(to)
+	if p == nil {
+		return
+	}
+	if c := p.current(); c == nil || !c.startOneWay(method, payload) {
+		p.counters[n.class(method)].dropped.Add(1)
+	}
+}
+
+// callSelf runs the handler of a call to the node's own name.
+func (n *Node) callSelf(ctx context.Context, method string, payload []byte) ([]byte, error) {
+	done := make(chan result, 1)
+	own := append([]byte(nil), payload...)
+	started := n.spawn(n.self, method, func() {
+		answer, err := n.invoke(ctx, n.cfg.Name, method, own)
+		done <- result{payload: answer, err: err}
+	})
+	if !started {
+		return nil, refused(n.cfg.Name)
+	}
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return nil, r.err
+		}
+		return r.payload, nil
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.AnswerTimeout, ctx.Err(), "call to %s ended", n.cfg.Name)
+	}
+}
+
+// sendSelf runs the handler of a one-way message to the node's own name.
+func (n *Node) sendSelf(method string, payload []byte) {
+	own := append([]byte(nil), payload...)
+	n.spawn(n.self, method, func() {
+		_, _ = n.invoke(n.ctx, n.cfg.Name, method, own)
+	})
+}
--- /dev/null
+++ b/internal/link/call_test.go
@@ -0,0 +1,102 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+)
+
+func echo(_ context.Context, _ string, payload []byte) ([]byte, error) { return payload, nil }
+
+func kindOf(err error) errkind.Kind {
+	if err == nil {
+		return ""
+	}
+	return errkind.From(err).Kind
+}
+
+// Guards against payloads damaged by chunking, credit or reassembly.
+func TestCallReturnsItsOwnPayload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork()
+		a, b := net.pair(map[string]Handler{"echo": echo})
+		for _, size := range []int{0, 1, ChunkSize, ChunkSize + 1, 1 << 20} {
+			body := bytes.Repeat([]byte{byte(size + 7)}, size)
+			for _, to := range []string{"b", "a"} {
+				got, err := a.Call(t.Context(), to, "echo", body)
+				if err != nil || !bytes.Equal(got, body) {
+					t.Fatalf("call of %d bytes to %s: %d bytes, %v", size, to, len(got), err)
+				}
+			}
+		}
+		_ = a.Close()
+		_ = b.Close()
+	})
+}
+
+// Guards against a wrong error kind, by which a request could run twice.
+func TestErrorKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork()
+		ran := make(chan struct{}, 9)
+		a, b := net.pair(map[string]Handler{
+			"refuse": func(context.Context, string, []byte) ([]byte, error) {
+				return nil, errkind.New(errkind.NoOwner, "none")
+			},
+			"down": func(context.Context, string, []byte) ([]byte, error) {
+				return nil, errkind.New(errkind.LinkDown, "inner link")
+			},
+			"stall": func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+				ran <- struct{}{}
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+			"panic": func(context.Context, string, []byte) ([]byte, error) { panic("fault") },
+		})
+		check := func(what string, want errkind.Kind, to, method string, ctx context.Context) {
+			t.Helper()
+			if _, err := a.Call(ctx, to, method, []byte("x")); kindOf(err) != want {
+				t.Errorf("%s: got %v, want %s", what, err, want)
+			}
+		}
+		short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		check("handler error", errkind.NoOwner, "b", "refuse", t.Context())
+		check("handler's LinkDown", errkind.LinkLost, "b", "down", t.Context())
+		check("unknown method", errkind.BadRequest, "b", "none", t.Context())
+		check("panic", errkind.Internal, "b", "panic", t.Context())
+		check("unknown peer", errkind.LinkDown, "c", "refuse", t.Context())
+		check("deadline", errkind.AnswerTimeout, "b", "stall", short)
+		check("deadline before the call", errkind.LinkDown, "b", "stall", short)
+		<-ran
+		go func() { <-ran; net.cut() }()
+		check("cut", errkind.LinkLost, "b", "stall", t.Context())
+		_ = b.Close()
+		check("peer gone", errkind.LinkDown, "b", "refuse", t.Context())
+		_ = a.Close()
+		check("closed", errkind.LinkDown, "b", "refuse", t.Context())
+	})
+}
+
+// Guards against a call that waits for its deadline behind a silent partition.
+func TestSilentPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork()
+		a, b := net.pair(map[string]Handler{"stall": func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+			net.silence()
+			<-ctx.Done()
+			return nil, context.Cause(ctx)
+		}})
+		began := time.Now()
+		_, err := a.Call(t.Context(), "b", "stall", nil)
+		if d := time.Since(began); kindOf(err) != errkind.LinkLost || d > DeadAfter {
+			t.Errorf("got %v after %v, want link_lost within %v", err, d, DeadAfter)
+		}
+		_ = a.Close()
+		_ = b.Close()
+	})
+}
--- /dev/null
+++ b/internal/target/request.go
@@ -0,0 +1,177 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+)
+
+// Request is one request to a target.
+type Request struct {
+	// Path is the escaped path with its query; it begins with a slash.
+	Method, Path string
+	Header       http.Header
+	Body         []byte
+	// MaxAnswer bounds the answer's body in bytes.
+	MaxAnswer int
+}
+
+// Response is the whole answer of a target.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+var (
+	errTooLarge   = errors.New("answer larger than allowed")
+	errUnbounded  = errors.New("answer without length or chunks may be cut")
+	errNoSwitches = errors.New("target switched protocols")
+)
+
+// Do sends work to the target and reads the whole answer. Its errors are
+//
+//   - BadRequest when the request cannot be sent at all,
+//   - TargetUnreachable when ctx ended or a dial failed before a connection was
+//     there, so that no byte of the request left,
+//   - TargetRefused when the answer carries the outcome not_run,
+//   - TargetLost when the connection broke or the answer is incomplete,
+//   - AnswerTimeout when ctx ended later than that, and
+//   - AnswerTooLarge.
+func (c *Client) Do(ctx context.Context, req Request) (Response, error) {
+	resp, err := c.exchange(ctx, c.work, req)
+	if err != nil {
+		return Response{}, err
+	}
+	if resp.Header.Get(HeaderOutcome) == string(errkind.NotRun) {
+		return Response{}, errkind.New(errkind.TargetRefused, "%s refused with status %d, %s",
+			c.addr, resp.Status, resp.Header.Get(HeaderErrorKind))
+	}
+	return resp, nil
+}
+
+// exchange sends a request once and reads the whole answer.
+func (c *Client) exchange(ctx context.Context, t *http.Transport, req Request) (Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	r, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), req)
+	if err != nil {
+		return Response{}, errkind.Wrap(errkind.BadRequest, err, "request for %s", c.addr)
+	}
+	resp, err := t.RoundTrip(r)
+	if err != nil {
+		return Response{}, c.failure(ctx, err, connected.Load())
+	}
+	body, err := readAll(resp, req.Method, req.MaxAnswer)
+	if err != nil {
+		return Response{}, c.failure(ctx, err, true)
+	}
+	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+}
+
+// failure gives err its kind. connected says that bytes may have left.
+func (c *Client) failure(ctx context.Context, err error, connected bool) *errkind.Error {
+	switch {
+	case !connected:
+		return errkind.Wrap(errkind.TargetUnreachable, err, "no connection to %s", c.addr)
+	case errors.Is(err, errTooLarge):
+		return errkind.Wrap(errkind.AnswerTooLarge, err, "answer of %s", c.addr)
+	case ctx.Err() != nil:
+		return errkind.Wrap(errkind.AnswerTimeout, ctx.Err(), "answer of %s", c.addr)
+	}
+	return errkind.Wrap(errkind.TargetLost, err, "connection to %s", c.addr)
+}
+
+func (c *Client) newRequest(ctx context.Context, req Request) (*http.Request, error) {
+	if !strings.HasPrefix(req.Path, "/") {
+		return nil, fmt.Errorf("path %q does not begin with a slash", req.Path)
+	}
+	u, err := url.ParseRequestURI(req.Path)
+	if err != nil {
+		return nil, err
+	}
+	u.Scheme, u.Host = "http", c.addr
+	r, err := http.NewRequestWithContext(ctx, req.Method, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	if r.Method == http.MethodConnect {
+		return nil, errors.New("method CONNECT")
+	}
+	r.Header = endToEnd(req.Header)
+	if _, ok := r.Header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		r.Header["User-Agent"] = []string{""}
+	}
+	r.Body, r.ContentLength = newOnce(req.Body)
+	return r, nil
+}
+
+// once is a body that cannot be sent again. net/http repeats a request on
+// another connection when a reused one broke and the request is a GET, HEAD,
+// OPTIONS or TRACE, or has an Idempotency-Key, and its body is nil or can be
+// rewound. A body that is neither prevents this for every method.
+type once struct{ r *bytes.Reader }
+
+func (o once) Read(p []byte) (int, error) { return o.r.Read(p) }
+func (o once) Close() error               { return nil }
+
+// newOnce returns a body and its length; 0 lets net/http look for itself.
+func newOnce(body []byte) (io.ReadCloser, int64) {
+	return once{bytes.NewReader(body)}, int64(len(body))
+}
+
+// endToEnd returns a copy of h without the headers of one connection.
+func endToEnd(h http.Header) http.Header {
+	copied := h.Clone()
+	if copied == nil {
+		return http.Header{}
+	}
+	for _, value := range copied["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		copied.Del(name)
+	}
+	return copied
+}
+
+// readAll reads the whole body. A body whose end cannot be told from a broken
+// connection is an error.
+func readAll(resp *http.Response, method string, limit int) ([]byte, error) {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errNoSwitches
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && method != http.MethodHead {
+		return nil, errUnbounded
+	}
+	if resp.ContentLength > int64(limit) && method != http.MethodHead {
+		return nil, errTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > limit {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
