--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -52,7 +52,10 @@
 		gate:     dispatch.NewGateWithClock(gateLimits(c), d.cfg.Now),
 		kick:     make(chan struct{}, 1),
 		done:     make(chan struct{}),
-		renewer:  target.NewRenewer(d.cfg.Now(), c.Target.ID, c.Target.Incarnation, d.cfg.VM, c.Dispatch.Epoch, c.Target.ChecksGrants),
+		renewer: target.NewRenewer(d.cfg.Now(), target.Contract{
+			Target: c.Target.ID, Incarnation: c.Target.Incarnation, VM: d.cfg.VM,
+			Epoch: c.Dispatch.Epoch, ChecksGrants: c.Target.ChecksGrants,
+		}),
 		inFlight: make(map[contract.SliceID]int),
 		revoked:  make(map[contract.SliceFence]bool),
 		state:    c.Target.State,
@@ -141,13 +144,13 @@
 		return
 	}
 	w.mu.Lock()
-	req := w.renewer.Next(w.d.cfg.Now())
-	req.Slices = w.grantSlices()
+	w.renewer.SetSlices(w.grantSlices())
+	sentAt := w.d.cfg.Now()
+	req := w.renewer.Next(sentAt)
 	w.mu.Unlock()
 
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	sentAt := w.d.cfg.Now()
 	reply, err := w.client.Grant(ctx, req)
 	receivedAt := w.d.cfg.Now()
 
@@ -210,6 +213,9 @@
 		if !ok || a.Fence != fence || a.Phase != contract.Owned {
 			return errkind.New(errkind.StaleRoute, "slice %d is not owned under fence %d", slice, fence)
 		}
+		if !w.renewer.Covers(w.d.cfg.Now(), slice, fence) {
+			return errkind.New(errkind.StaleRoute, "slice %d is not granted yet", slice)
+		}
 	}
 	w.inFlight[slice]++
 	w.total++
--- a/internal/entry/any.go
+++ b/internal/entry/any.go
@@ -8,6 +8,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/relay"
 	"github.com/flamingoreel/flamingoreel/internal/routing"
+	"github.com/flamingoreel/flamingoreel/internal/text"
 )
 
 // selectors holds one selector per service without ownership.
@@ -32,24 +33,57 @@
 	return sel
 }
 
-// tryAny relays a request to a target chosen by observed latency and load.
-func (e *Entry) tryAny(ctx context.Context, table *control.Table, req *relay.Request) (*relay.Reply, *errkind.Error) {
+// tryAny relays a request to a target chosen by observed latency and load. An
+// idempotent request that takes unusually long is sent to a second target
+// while the hedge budget lasts; the slower one is cancelled.
+func (e *Entry) tryAny(ctx context.Context, table *control.Table, service *text.Service, req *relay.Request) (*relay.Reply, *errkind.Error) {
 	candidates := e.candidates(table, req)
 	selector := e.selectors.get(req.Service)
-	c, ok := selector.Pick(e.cfg.Now(), candidates, "")
+	first, ok := selector.Pick(e.cfg.Now(), candidates, "")
 	if !ok {
 		return nil, errkind.New(errkind.NoOwner, "service %s has no usable target", req.Service)
 	}
+	allow := func() bool {
+		return len(candidates) > 1 && routing.MayHedge(e.hedges, service.Ownership, req.Idempotent())
+	}
+	e.hedges.Earn()
+	reply, err := routing.Hedge(ctx, selector.HedgeAfter(e.cfg.Now()), allow, func(ctx context.Context, hedge bool) (*relay.Reply, error) {
+		if !hedge {
+			return e.sendTo(ctx, selector, first, req)
+		}
+		second, ok := selector.Pick(e.cfg.Now(), candidates, first.Target)
+		if !ok {
+			return nil, errkind.New(errkind.NoOwner, "service %s has no second target", req.Service)
+		}
+		return e.sendTo(ctx, selector, second, req)
+	})
+	if err != nil {
+		return nil, errkind.From(err)
+	}
+	return reply, nil
+}
+
+// sendTo relays a request to one candidate and tells the selector how it went.
+func (e *Entry) sendTo(ctx context.Context, selector *routing.Selector, c routing.Candidate, req *relay.Request) (*relay.Reply, error) {
 	attempt := *req
 	attempt.Target = c.Target
 	started := e.cfg.Now()
 	selector.Started(c.Target)
 	reply, err := e.cfg.Router.Relay(ctx, c.VM, &attempt)
 	now := e.cfg.Now()
-	selector.Done(now, c.Target, now-started, err == nil)
-	return reply, err
+	if err == nil {
+		selector.Done(now, c.Target, now-started, true)
+		return reply, nil
+	}
+	if ctx.Err() != nil {
+		selector.Cancelled(now, c.Target, now-started)
+	} else {
+		selector.Done(now, c.Target, now-started, false)
+	}
+	return nil, err
 }
 
+// candidates lists the usable targets of a service with their cost of reach.
 func (e *Entry) candidates(table *control.Table, req *relay.Request) []routing.Candidate {
 	routes := table.Routes(req.Service, req.Residency)
 	candidates := make([]routing.Candidate, 0, len(routes))
@@ -57,7 +91,8 @@
 		candidates = append(candidates, routing.Candidate{
 			Target: r.Target.ID,
 			VM:     r.Dispatch.VM,
-			Local:  table.RegionOf(r.Target.DataCentre) == e.cfg.Region,
+			Local:  r.Target.DataCentre == e.cfg.DataCentre,
+			Remote: table.RegionOf(r.Target.DataCentre) != e.cfg.Region,
 		})
 	}
 	return candidates
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,8 +39,9 @@
 
 // Config is what an entry needs.
 type Config struct {
-	Region  string
-	Router  Router
+	Region     string
+	DataCentre string
+	Router     Router
 	Records *record.Coordinator
 	// Now is the monotonic time since the process started.
 	Now      func() time.Duration
@@ -55,6 +56,7 @@
 	echo      *echo.Echo
 	metrics   *metrics
 	budget    *routing.Budget
+	hedges    *routing.Budget
 	selectors *selectors
 }
 
@@ -65,6 +67,7 @@
 		echo:      echo.New(),
 		metrics:   newMetrics(cfg.Registry),
 		budget:    routing.NewBudget(defaultRetryBudget),
+		hedges:    routing.NewBudget(defaultHedgeBudget),
 		selectors: newSelectors(cfg.Seed),
 	}
 	e.echo.HideBanner = true
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -26,6 +26,8 @@
 	maxRetryPause = 50 * time.Millisecond
 	// defaultRetryBudget is the share of requests that may be retries.
 	defaultRetryBudget = 0.1
+	// defaultHedgeBudget is the share of requests that may be hedges.
+	defaultHedgeBudget = 0.05
 	// lookupTimeout bounds the look-up of a record after a refusal.
 	lookupTimeout = 500 * time.Millisecond
 )
@@ -79,7 +81,7 @@
 		return nil, err
 	}
 	if service.Ownership == text.Any {
-		return e.tryAny(ctx, table, req)
+		return e.tryAny(ctx, table, service, req)
 	}
 	return e.tryOwner(ctx, table, req)
 }
--- a/internal/vm/announce.go
+++ b/internal/vm/announce.go
@@ -109,7 +109,9 @@
 func (p *probes) probe(v *VM, id, addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := target.NewClient(addr, 1, v.cfg.DialTarget).Probe(ctx)
+	client := target.NewClient(addr, 1, v.cfg.DialTarget)
+	defer client.Close()
+	_, err := client.Grant(ctx, target.GrantRequest{Target: id, VM: v.cfg.Name})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.running, id)
--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -47,6 +47,8 @@
 	replicaID string
 	store     *storage.Store
 	recovered storage.Recovered
+	// formed says that storage held a log, so that its membership is known.
+	formed bool
 	replica   *consensus.Node
 	failed    bool
 	// storageFailed mirrors failed for readers outside the control goroutine.
--- /dev/null
+++ b/internal/vm/metrics.go
@@ -0,0 +1,96 @@
+package vm
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/flamingoreel/flamingoreel/internal/link"
+	"github.com/flamingoreel/flamingoreel/internal/record"
+)
+
+// collector exports the counters of links, records and control state.
+type collector struct {
+	v *VM
+
+	linkBytes, linkFrames, linkDropped, linkRefused, linkConnects, badFrames *prometheus.Desc
+	recordBytes, records, leaseValid, version, configNumber, contracts       *prometheus.Desc
+	storageFailed                                                            *prometheus.Desc
+}
+
+func describe(subsystem, name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName("flamingoreel", subsystem, name), help, labels, nil)
+}
+
+// registerMetrics registers the collector of the VM.
+func (v *VM) registerMetrics() {
+	if v.cfg.Registry == nil {
+		return
+	}
+	v.cfg.Registry.MustRegister(&collector{
+		v:             v,
+		linkBytes:     describe("link", "bytes_total", "Bytes on links between VMs.", "peer", "class", "direction"),
+		linkFrames:    describe("link", "frames_total", "Frames on links between VMs.", "peer", "class", "direction"),
+		linkDropped:   describe("link", "dropped_total", "One-way messages that were not sent.", "peer", "class"),
+		linkRefused:   describe("link", "refused_total", "Requests refused because the peer has too many handlers.", "peer", "class"),
+		linkConnects:  describe("link", "connects_total", "Connections established to a peer.", "peer"),
+		badFrames:     describe("link", "closed_total", "Connections closed because of what the peer sent.", "reason"),
+		recordBytes:   describe("record", "bytes", "Memory accounted to request records."),
+		records:       describe("record", "entries", "Request records held."),
+		leaseValid:    describe("control", "lease_valid", "1 while this VM holds a valid lease."),
+		version:       describe("control", "version", "Index of the last applied command."),
+		configNumber:  describe("control", "config_number", "Number of the configuration in force."),
+		contracts:     describe("control", "contracts", "Targets that this VM dispatches."),
+		storageFailed: describe("control", "storage_failed", "1 after a failed write to the data directory."),
+	})
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(descs chan<- *prometheus.Desc) {
+	prometheus.DescribeByCollect(c, descs)
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	c.collectLinks(out, c.v.links.Stats())
+	c.collectRecords(out, c.v.store.Stats())
+	gauge := func(d *prometheus.Desc, value float64) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value)
+	}
+	gauge(c.leaseValid, flag(c.v.LeaseValid()))
+	gauge(c.version, float64(c.v.version.Load()))
+	gauge(c.configNumber, float64(c.v.Table().ConfigNumber()))
+	gauge(c.contracts, float64(c.v.dispatcher.Contracts()))
+	gauge(c.storageFailed, flag(c.v.loop.storageFailed.Load()))
+}
+
+func (c *collector) collectLinks(out chan<- prometheus.Metric, s link.Stats) {
+	counter := func(d *prometheus.Desc, value uint64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
+	}
+	for _, p := range s.Peers {
+		class := p.Class.String()
+		counter(c.linkBytes, p.BytesIn, p.Peer, class, "in")
+		counter(c.linkBytes, p.BytesOut, p.Peer, class, "out")
+		counter(c.linkFrames, p.FramesIn, p.Peer, class, "in")
+		counter(c.linkFrames, p.FramesOut, p.Peer, class, "out")
+		counter(c.linkDropped, p.Dropped, p.Peer, class)
+		counter(c.linkRefused, p.Refused, p.Peer, class)
+		if p.Class == link.Control {
+			counter(c.linkConnects, p.Connects, p.Peer)
+		}
+	}
+	for reason, n := range s.BadFrames {
+		counter(c.badFrames, n, reason)
+	}
+}
+
+func (c *collector) collectRecords(out chan<- prometheus.Metric, s record.Stats) {
+	out <- prometheus.MustNewConstMetric(c.recordBytes, prometheus.GaugeValue, float64(s.Bytes))
+	out <- prometheus.MustNewConstMetric(c.records, prometheus.GaugeValue, float64(s.Records))
+}
+
+func flag(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/vm/replica.go
+++ b/internal/vm/replica.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"slices"
 	"sort"
 	"strings"
@@ -45,14 +43,13 @@
 	}
 	l.store, l.recovered = store, recovered
 	l.replicaID = recovered.ReplicaID
+	l.formed = recovered.Snapshot != nil || len(recovered.Entries) > 0 || recovered.HardState.Term > 0
 	if l.replicaID != "" {
 		return nil
 	}
-	identity := make([]byte, 8)
-	if _, err := rand.Read(identity); err != nil {
+	if l.replicaID, err = storage.DrawReplicaID(l.v.cfg.Name); err != nil {
 		return err
 	}
-	l.replicaID = l.v.cfg.Name + "/" + hex.EncodeToString(identity)
 	return store.SetReplicaID(l.replicaID)
 }
 
@@ -78,7 +75,7 @@
 	if l.replicaID == "" {
 		return
 	}
-	if !l.recovered.Fresh {
+	if l.formed {
 		l.post(func() { l.startReplica(consensus.Membership{}) })
 		return
 	}
@@ -141,7 +138,8 @@
 	return info, msgpack.Unmarshal(data, &info)
 }
 
-// startReplica starts the replica from what storage recovered.
+// startReplica starts the replica from what storage recovered. initial is the
+// membership of a replica whose storage holds no log.
 func (l *loop) startReplica(initial consensus.Membership) {
 	l.keepMembership(initial)
 	r := l.recovered
@@ -165,7 +163,7 @@
 // keepMembership saves the initial membership as a snapshot at index 0, so
 // that a restart before the first snapshot knows it.
 func (l *loop) keepMembership(m consensus.Membership) {
-	if len(m.Voters) == 0 || !l.recovered.Fresh {
+	if len(m.Voters) == 0 || l.formed {
 		return
 	}
 	if err := l.store.SaveSnapshot(consensus.Snapshot{Membership: m}); err != nil {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -94,12 +94,13 @@
 	links, err := link.Listen(link.Config{
 		Cluster: cfg.Cluster, Name: cfg.Name, Addr: cfg.LinkAddr,
 		Listener: cfg.Listener, Dial: cfg.DialLink,
-		Logger: cfg.Logger, Registry: cfg.Registry,
+		Priority: priorityMethods, Seed: cfg.Seed, Logger: cfg.Logger,
 	})
 	if err != nil {
 		return nil, err
 	}
 	v.links = links
+	v.registerMetrics()
 	for name, addr := range cfg.Peers {
 		links.SetPeer(name, addr)
 	}
@@ -124,7 +125,7 @@
 		Dial:            v.cfg.DialTarget, Logger: v.cfg.Logger, Registry: v.cfg.Registry,
 	})
 	v.entry = entry.New(entry.Config{
-		Region: v.cfg.Region, Router: v, Records: v.records, Now: v.now,
+		Region: v.cfg.Region, DataCentre: v.cfg.DataCentre, Router: v, Records: v.records, Now: v.now,
 		Seed: v.cfg.Seed, Logger: v.cfg.Logger, Registry: v.cfg.Registry,
 	})
 }
