Add the replicated control state, its table and the planner

VMs need one agreed view of configuration, ownership and dispatch contracts, and the leader needs to decide changes to it. The state applies commands with preconditions, the table serves routes by binary search, and the planner proposes registrations, dispatchers, moves and removals from heartbeats.

--- /dev/null
+++ b/internal/control/apply_members.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"github.com/flamingoreel/flamingoreel/internal/contract"
+)
+
+// registerVM adds a VM or updates it. An older incarnation changes nothing.
+func (s *State) registerVM(v VM) bool {
+	known, ok := s.vms[v.Name]
+	if v.Name == "" || s.layout.retiredVMs[v.Name] {
+		return false
+	}
+	if ok && (v.Incarnation < known.Incarnation || v == known) {
+		return false
+	}
+	s.vms[v.Name] = v
+	s.updateHolders()
+	return true
+}
+
+// removeVM removes a VM that the text retired and that has no contract.
+func (s *State) removeVM(c RemoveVM) bool {
+	if _, ok := s.vms[c.Name]; !ok || !s.layout.retiredVMs[c.Name] {
+		return false
+	}
+	for _, entry := range s.dispatches {
+		if entry.Dispatch.VM == c.Name {
+			return false
+		}
+	}
+	delete(s.vms, c.Name)
+	s.updateHolders()
+	return true
+}
+
+// registerTarget adds a target, updates the address and slots of a known
+// incarnation, or replaces an older incarnation. The process of the older
+// incarnation is gone, so its slices are unassigned with the same command.
+func (s *State) registerTarget(t Target) bool {
+	known, ok := s.targets[t.ID]
+	if t.ID == "" || (ok && t.Incarnation < known.Incarnation) {
+		return false
+	}
+	if !ok {
+		t.Lost = false
+		s.targets[t.ID] = t
+		return true
+	}
+	if t.Incarnation == known.Incarnation {
+		return s.updateTarget(known, t)
+	}
+	t.Lost = false
+	s.targets[t.ID] = t
+	s.releaseOlder(t)
+	return true
+}
+
+func (s *State) updateTarget(known, t Target) bool {
+	updated := known
+	updated.Address = t.Address
+	updated.Slots = t.Slots
+	if updated == known {
+		return false
+	}
+	s.targets[t.ID] = updated
+	return true
+}
+
+// releaseOlder unassigns the slices of older incarnations of the target.
+func (s *State) releaseOlder(t Target) {
+	for _, key := range s.groupKeys() {
+		for _, id := range s.groups[key].ids {
+			entry := s.slices[id]
+			if entry.Assignment.Target == t.ID && entry.Assignment.Incarnation < t.Incarnation {
+				s.release(entry)
+			}
+		}
+		s.dropUnwanted(key)
+	}
+}
+
+// markTarget changes state and loss of the incarnation.
+func (s *State) markTarget(c MarkTarget) bool {
+	t, ok := s.targets[c.ID]
+	if !ok || t.Incarnation != c.Incarnation {
+		return false
+	}
+	if t.State == c.State && t.Lost == c.Lost {
+		return false
+	}
+	t.State = c.State
+	t.Lost = c.Lost
+	s.targets[c.ID] = t
+	return true
+}
+
+// removeTarget removes a target that owns no slice. Its epoch stays below the
+// epochs that are given out later.
+func (s *State) removeTarget(c RemoveTarget) bool {
+	t, ok := s.targets[c.ID]
+	if !ok || t.Incarnation != c.Incarnation {
+		return false
+	}
+	for _, entry := range s.slices {
+		if entry.Assignment.Target == c.ID {
+			return false
+		}
+	}
+	s.epochFloor = max(s.epochFloor, s.epochOf(c.ID))
+	delete(s.dispatches, c.ID)
+	delete(s.targets, c.ID)
+	return true
+}
+
+// setDispatch gives the target a dispatcher in the target's region.
+func (s *State) setDispatch(d contract.Dispatch) bool {
+	t, ok := s.targets[d.Target]
+	if !ok || d.Epoch != s.epochOf(d.Target)+1 {
+		return false
+	}
+	v, ok := s.vms[d.VM]
+	if !ok || v.Incarnation != d.VMIncarnation || s.layout.retiredVMs[d.VM] {
+		return false
+	}
+	region := s.layout.regionOf[t.DataCentre]
+	if region == "" || s.layout.regionOf[v.DataCentre] != region {
+		return false
+	}
+	entry := dispatchEntry{Dispatch: d, Since: s.version}
+	if before := s.dispatches[d.Target].Dispatch; before.VM != d.VM {
+		entry.PreviousVM = before.VM
+		entry.PreviousIncarnation = before.VMIncarnation
+	}
+	s.dispatches[d.Target] = entry
+	return true
+}
--- /dev/null
+++ b/internal/control/codec.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/text"
+)
+
+// MaxCommandBytes is the largest encoded command: a configuration text of the
+// largest size with its envelope.
+const MaxCommandBytes = text.MaxBytes + 4096
+
+// Encode returns the log entry of a command.
+func Encode(c Command) ([]byte, error) {
+	data, err := msgpack.Marshal(&c)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "encode command")
+	}
+	return data, nil
+}
+
+// Decode reads a log entry. It fails when the entry does not hold exactly one
+// command.
+func Decode(data []byte) (Command, error) {
+	var c Command
+	if len(data) > MaxCommandBytes {
+		return c, errkind.New(errkind.BadRequest, "command of %d bytes is too large", len(data))
+	}
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return Command{}, errkind.Wrap(errkind.BadRequest, err, "decode command")
+	}
+	if n := c.fields(); n != 1 {
+		return Command{}, errkind.New(errkind.BadRequest, "command has %d fields, want 1", n)
+	}
+	return c, nil
+}
+
+// fields counts the fields that are set.
+func (c Command) fields() int {
+	set := [...]bool{
+		c.ChangeConfig != nil, c.RegisterVM != nil, c.RemoveVM != nil,
+		c.RegisterTarget != nil, c.MarkTarget != nil, c.RemoveTarget != nil,
+		c.SetDispatch != nil, c.Assign != nil, c.Drain != nil,
+		c.Unassign != nil, c.Hold != nil, c.Split != nil, c.Merge != nil,
+		c.ForgetHolders != nil, c.AddResidency != nil,
+	}
+	n := 0
+	for _, isSet := range set {
+		if isSet {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -53,12 +53,17 @@
 	Epoch       contract.Epoch `msgpack:"e"`
 	Reachable   bool           `msgpack:"r"`
 	// GrantExpired says that no work sent by this dispatcher or an earlier
-	// one can still begin on a target that checks grants.
+	// one can still begin on a target that checks grants. It is final for
+	// the epoch: the dispatcher neither grants nor sends under this epoch
+	// again, even if the target answers, because the leader may already have
+	// proposed another owner. A target that answers again gets a new epoch.
 	GrantExpired bool        `msgpack:"g"`
 	State        TargetState `msgpack:"s"`
 	InFlight     int         `msgpack:"f"`
-	// Stopped lists draining slices that have no work in flight and that the
-	// target confirmed as revoked.
+	// Stopped lists draining and held slices that have no work in flight and
+	// that the target confirmed as revoked. Work in flight is counted by hash,
+	// not by slice, because a split or merge may have changed the slice since
+	// the work was sent.
 	Stopped []contract.SliceFence `msgpack:"p"`
 	// HotHashes lists hashes that each take more than a tenth of the target's
 	// requests, hottest first, with their share in HotShares.
--- /dev/null
+++ b/internal/control/plan_members.go
@@ -0,0 +1,71 @@
+package control
+
+// registerVMs proposes VMs that are new or changed.
+func (r *round) registerVMs() {
+	for _, name := range r.p.sortedVMs() {
+		observed := r.p.vms[name]
+		if r.now >= observed.leaseUntil || r.s.layout.retiredVMs[name] {
+			continue
+		}
+		known, ok := r.s.vms[name]
+		if ok && (known == observed.vm || known.Incarnation > observed.vm.Incarnation) {
+			continue
+		}
+		v := observed.vm
+		r.propose(Command{RegisterVM: &v})
+	}
+}
+
+// registerTargets proposes targets that are new or changed and the states that
+// targets announce.
+func (r *round) registerTargets() {
+	for _, id := range sortedNames(r.p.announced) {
+		announced := r.p.announced[id]
+		known, ok := r.s.targets[id]
+		if r.mayRegister(announced, known, ok) {
+			r.propose(Command{RegisterTarget: &announced})
+			continue
+		}
+		if ok && announced.Incarnation == known.Incarnation {
+			r.markState(announced, known)
+		}
+	}
+}
+
+// mayRegister reports whether an announcement adds or changes a target. A
+// target that is leaving is not added.
+func (r *round) mayRegister(announced, known Target, registered bool) bool {
+	l := r.s.layout
+	if l.retiredTargets[announced.ID] {
+		return false
+	}
+	if _, ok := l.services[announced.Service]; !ok || l.regionOf[announced.DataCentre] == "" {
+		return false
+	}
+	if !registered {
+		return announced.State != Leaving
+	}
+	if announced.Incarnation != known.Incarnation {
+		return announced.Incarnation > known.Incarnation
+	}
+	return announced.Address != known.Address || announced.Slots != known.Slots
+}
+
+// markState proposes the target's state. The dispatcher's report is newer than
+// an announcement; a target that is leaving stays so until it restarts.
+func (r *round) markState(announced, known Target) {
+	state := announced.State
+	if observed, ok := r.report(known.ID); ok && observed.report.Reachable && observed.report.State != "" {
+		state = observed.report.State
+	}
+	if announced.State == Leaving || known.State == Leaving {
+		state = Leaving
+	}
+	if state != known.State {
+		r.propose(mark(known, state, known.Lost))
+	}
+}
+
+func mark(t Target, state TargetState, lost bool) Command {
+	return Command{MarkTarget: &MarkTarget{ID: t.ID, Incarnation: t.Incarnation, State: state, Lost: lost}}
+}
--- /dev/null
+++ b/internal/control/sim_fakes_test.go
@@ -0,0 +1,378 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/contract"
+)
+
+// simGrant is what a fake dispatcher knows of one contract.
+type simGrant struct {
+	epoch       contract.Epoch
+	incarnation uint64
+	reading     time.Duration
+	readAt      time.Duration
+	usedAt      time.Duration
+	lastReply   time.Duration
+	nextSend    time.Duration
+	expired     bool
+	stopped     []contract.SliceFence
+	inFlight    []*simWork
+	everRead    bool
+}
+
+type simWork struct {
+	hash  uint64
+	slice contract.SliceID
+	fence contract.Fence
+	epoch contract.Epoch
+	done  func()
+}
+
+// simVM is a fake VM: lease, state and dispatchers.
+type simVM struct {
+	VM
+	state      *State
+	leaseUntil time.Duration
+	pausedTill time.Duration
+	dead       bool
+	// cutLeader drops traffic with the leader, cut that with targets.
+	cutLeader bool
+	cut       map[string]bool
+	grants    map[string]*simGrant
+	nextBeat  time.Duration
+	probes    []string
+	seen      []Target
+	// resumes makes the dispatcher grant again under an expired epoch.
+	resumes bool
+}
+
+func (s *sim) addVM(name, dc, region string) *simVM {
+	v := &simVM{VM: VM{Name: name, DataCentre: dc, Region: region, Incarnation: 1}, cut: map[string]bool{}}
+	v.restart(s, 0)
+	s.vms = append(s.vms, v)
+	return v
+}
+
+// restart begins a new incarnation that knows nothing.
+func (v *simVM) restart(s *sim, incarnation uint64) {
+	v.Incarnation += incarnation
+	v.state, v.leaseUntil, v.grants = NewState(), 0, map[string]*simGrant{}
+	v.pausedTill, v.probes, v.dead, v.Stopping = 0, nil, false, false
+	v.nextBeat = s.now + time.Duration(s.rng.Int64N(int64(contract.HeartbeatInterval)))
+}
+
+func (v *simVM) alive(now time.Duration) bool { return !v.dead && now >= v.pausedTill }
+
+func (v *simVM) step(s *sim) {
+	if !v.alive(s.now) {
+		return
+	}
+	if s.now >= v.nextBeat {
+		v.nextBeat = s.now + contract.HeartbeatInterval
+		v.beat(s)
+	}
+	if s.now >= v.leaseUntil {
+		return
+	}
+	current := map[string]bool{}
+	for _, c := range v.state.Table().Contracts(v.Name, v.Incarnation) {
+		current[c.Target.ID] = true
+		v.dispatch(s, c)
+	}
+	for id := range v.grants {
+		if !current[id] {
+			delete(v.grants, id)
+		}
+	}
+}
+
+func (v *simVM) beat(s *sim) {
+	if v.cutLeader {
+		return
+	}
+	hb := Heartbeat{VM: v.VM, SentAt: s.now, Version: v.state.Version(), Announcements: slices.Clone(v.seen)}
+	for _, id := range sortedNames(v.grants) {
+		hb.Reports = append(hb.Reports, v.report(s, id, v.grants[id]))
+	}
+	for _, id := range v.probes {
+		hb.Probed = append(hb.Probed, id)
+		if t := s.target(id); v.cut[id] || !t.up() {
+			hb.Unreachable = append(hb.Unreachable, id)
+		}
+	}
+	s.send(func() { s.answer(v, hb) })
+}
+
+func (v *simVM) report(s *sim, id string, g *simGrant) TargetReport {
+	reachable := s.now-g.lastReply < 2*contract.RenewInterval
+	over := s.now >= g.usedAt+contract.GrantExpiryWait && s.now >= g.lastReply+2*contract.RenewInterval
+	if over || g.expired {
+		g.expired = !v.resumes
+	}
+	state := Warm
+	if t := s.target(id); reachable {
+		state = t.State
+	}
+	return TargetReport{
+		Target: id, Incarnation: g.incarnation, Epoch: g.epoch, Reachable: reachable,
+		GrantExpired: over || g.expired, State: state, Stopped: slices.Clone(g.stopped),
+	}
+}
+
+// answer is the leader's side of a heartbeat.
+func (s *sim) answer(v *simVM, hb Heartbeat) {
+	if s.planner == nil || !s.planner.CurrentIncarnation(s.state, hb.VM) {
+		return
+	}
+	s.planner.Heartbeat(s.now, hb)
+	var commands []IndexedCommand
+	for _, e := range s.log {
+		if e.Index > hb.Version {
+			commands = append(commands, e)
+		}
+	}
+	probes := s.planner.Probes(hb.VM.Name)
+	s.send(func() {
+		if !v.alive(s.now) || v.Incarnation != hb.VM.Incarnation || v.cutLeader {
+			return
+		}
+		for _, e := range commands {
+			_, _ = v.state.Apply(e.Index, e.Data)
+		}
+		v.leaseUntil = max(v.leaseUntil, hb.SentAt+contract.VMLease)
+		v.probes = probes
+	})
+}
+
+func (v *simVM) dispatch(s *sim, c Contract) {
+	t := s.target(c.Target.ID)
+	g := v.grants[t.ID]
+	if g == nil || g.epoch != c.Dispatch.Epoch || g.incarnation != c.Target.Incarnation {
+		g = &simGrant{epoch: c.Dispatch.Epoch, incarnation: c.Target.Incarnation, usedAt: s.now, lastReply: s.now}
+		v.grants[t.ID] = g
+	}
+	if s.now >= g.nextSend {
+		g.nextSend = s.now + contract.RenewInterval
+		v.renew(s, t, g, c)
+	}
+	v.work(s, t, g, c)
+}
+
+func (v *simVM) renew(s *sim, t *simTarget, g *simGrant, c Contract) {
+	until := time.Duration(0)
+	if g.everRead && !g.expired {
+		until = g.reading + contract.TargetGrant
+		g.usedAt = g.readAt
+	}
+	var granted, ending []ContractSlice
+	for _, entry := range c.Slices {
+		if entry.Assignment.Phase == contract.Owned {
+			granted = append(granted, entry)
+			continue
+		}
+		granted = append(granted, entry)
+		if !g.busy(entry.Slice) {
+			ending = append(ending, entry)
+		}
+	}
+	s.toTarget(v, t, func() {
+		if !t.grant(g.epoch, g.incarnation, until, granted) {
+			return
+		}
+		stopped := t.revoke(ending)
+		reading := t.clock(s.now)
+		s.toVM(v, t, func() {
+			g.reading, g.readAt, g.lastReply, g.everRead = reading, s.now, s.now, true
+			for _, f := range stopped {
+				if !slices.Contains(g.stopped, f) {
+					g.stopped = append(g.stopped, f)
+				}
+			}
+			if until == 0 && !g.expired {
+				g.nextSend = s.now
+			}
+		})
+	})
+}
+
+func (g *simGrant) busy(slice contract.Slice) bool {
+	return slices.ContainsFunc(g.inFlight, func(w *simWork) bool { return slice.Contains(w.hash) })
+}
+
+// work sends a request of a random owned slice.
+func (v *simVM) work(s *sim, t *simTarget, g *simGrant, c Contract) {
+	if len(c.Slices) == 0 || g.expired || !g.everRead || c.Target.Lost {
+		return
+	}
+	entry := c.Slices[s.rng.IntN(len(c.Slices))]
+	if entry.Assignment.Phase != contract.Owned || len(g.inFlight) > 4 {
+		return
+	}
+	hash := entry.Slice.Lo
+	if width := entry.Slice.Hi - entry.Slice.Lo; width > 0 {
+		hash += s.rng.Uint64N(width)
+	}
+	w := &simWork{hash: hash, slice: entry.Slice.ID, fence: entry.Assignment.Fence, epoch: g.epoch}
+	g.inFlight = append(g.inFlight, w)
+	w.done = func() {
+		s.toVM(v, t, func() {
+			g.inFlight = slices.DeleteFunc(g.inFlight, func(o *simWork) bool { return o == w })
+		})
+	}
+	incarnation := t.Incarnation
+	s.toTarget(v, t, func() {
+		if t.Incarnation == incarnation {
+			t.queue = append(t.queue, w)
+		}
+	})
+}
+
+func (s *sim) toTarget(v *simVM, t *simTarget, do func()) {
+	if v.cut[t.ID] || t.dead {
+		return
+	}
+	s.after(simHop, func() { t.receive(do) })
+}
+
+func (s *sim) toVM(v *simVM, t *simTarget, do func()) {
+	incarnation := v.Incarnation
+	s.after(simHop, func() {
+		switch {
+		case v.cut[t.ID] || v.dead || v.Incarnation != incarnation:
+		case v.alive(s.now):
+			do()
+		default:
+			s.events = append(s.events, simEvent{v.pausedTill, do})
+		}
+	})
+}
+
+// simTarget is a fake target. A frozen target keeps what it receives and goes
+// on with it when it thaws; its monotonic clock runs on meanwhile.
+type simTarget struct {
+	Target
+	born     time.Duration
+	dead     bool
+	frozen   bool
+	socket   []func()
+	queue    []*simWork
+	epoch    contract.Epoch
+	until    time.Duration
+	granted  []ContractSlice
+	revoked  map[contract.SliceID]contract.Fence
+	nextDone time.Duration
+}
+
+func (s *sim) addTarget(id, service, dc string, checks bool) *simTarget {
+	t := &simTarget{Target: Target{
+		ID: id, Service: service, DataCentre: dc, Incarnation: 1, ChecksGrants: checks, Slots: 6, State: Warm,
+	}}
+	t.restart(s, 0)
+	s.targets = append(s.targets, t)
+	s.announce(t)
+	return t
+}
+
+// restart begins a new incarnation.
+func (t *simTarget) restart(s *sim, incarnation uint64) {
+	t.Incarnation += incarnation
+	t.dead, t.frozen, t.born = false, false, s.now
+	t.queue, t.socket, t.granted = nil, nil, nil
+	t.epoch, t.until, t.revoked = 0, 0, map[contract.SliceID]contract.Fence{}
+}
+
+func (s *sim) announce(t *simTarget) {
+	for _, v := range s.vms {
+		v.seen = slices.DeleteFunc(v.seen, func(o Target) bool { return o.ID == t.ID })
+		v.seen = append(v.seen, t.Target)
+	}
+}
+
+func (t *simTarget) up() bool { return !t.dead && !t.frozen }
+
+func (t *simTarget) clock(now time.Duration) time.Duration { return now - t.born }
+
+func (t *simTarget) receive(do func()) {
+	switch {
+	case t.dead:
+	case t.frozen:
+		t.socket = append(t.socket, do)
+	default:
+		do()
+	}
+}
+
+func (t *simTarget) grant(epoch contract.Epoch, incarnation uint64, until time.Duration, granted []ContractSlice) bool {
+	if incarnation != t.Incarnation || (t.ChecksGrants && epoch < t.epoch) {
+		return false
+	}
+	t.epoch = max(t.epoch, epoch)
+	if until > 0 {
+		t.until = until
+		t.granted = slices.DeleteFunc(slices.Clone(granted), func(e ContractSlice) bool {
+			return e.Assignment.Fence <= t.revoked[e.Slice.ID]
+		})
+	}
+	return true
+}
+
+// revoke stops slices of which no work is queued.
+func (t *simTarget) revoke(ending []ContractSlice) []contract.SliceFence {
+	var stopped []contract.SliceFence
+	for _, e := range ending {
+		if slices.ContainsFunc(t.queue, func(w *simWork) bool { return e.Slice.Contains(w.hash) }) {
+			continue
+		}
+		t.revoked[e.Slice.ID] = max(t.revoked[e.Slice.ID], e.Assignment.Fence)
+		t.granted = slices.DeleteFunc(t.granted, func(o ContractSlice) bool { return o.Slice.ID == e.Slice.ID })
+		stopped = append(stopped, contract.SliceFence{Slice: e.Slice.ID, Fence: e.Assignment.Fence})
+	}
+	return stopped
+}
+
+func (t *simTarget) grants(slice contract.SliceID, fence contract.Fence, now time.Duration) bool {
+	return t.clock(now) < t.until && slices.ContainsFunc(t.granted, func(e ContractSlice) bool {
+		return e.Slice.ID == slice && e.Assignment.Fence == fence
+	})
+}
+
+func (t *simTarget) step(s *sim) {
+	if !t.up() {
+		return
+	}
+	for len(t.socket) > 0 {
+		do := t.socket[0]
+		t.socket = t.socket[1:]
+		do()
+	}
+	if s.now >= t.nextDone && len(t.queue) > 0 {
+		w := t.queue[0]
+		t.queue = t.queue[1:]
+		t.nextDone = s.now + simExecute
+		w.done()
+	}
+}
+
+// claims lists the hashes of which the target would execute work if it ran
+// now: those it holds valid grants for, or, if it does not check grants, those
+// of the requests it received.
+func (t *simTarget) claims(now time.Duration) []claim {
+	var out []claim
+	if t.dead {
+		return nil
+	}
+	if t.ChecksGrants {
+		for _, e := range t.granted {
+			if t.clock(now) < t.until {
+				out = append(out, claim{e.Slice.Lo, e.Slice.Hi, t.ID})
+			}
+		}
+		return out
+	}
+	for _, w := range t.queue {
+		out = append(out, claim{w.hash, w.hash, t.ID})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/sim_test.go
@@ -0,0 +1,298 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/contract"
+)
+
+// Times of the simulated network and control group.
+const (
+	simStep    = 5 * time.Millisecond
+	simDelay   = 8 * time.Millisecond
+	simHop     = 2 * time.Millisecond
+	simCommit  = 20 * time.Millisecond
+	simExecute = 10 * time.Millisecond
+)
+
+// sim runs State and Planner with fakes of VM dispatchers and targets in
+// virtual time. The control group is one log with a commit delay.
+type sim struct {
+	rng      *rand.Rand
+	now      time.Duration
+	state    *State
+	snapshot []byte
+	log      []IndexedCommand
+	base     uint64
+	index    uint64
+	uncommit []simProposal
+	planner  *Planner
+	policy   LossPolicy
+	electAt  time.Duration
+	events   []simEvent
+	vms      []*simVM
+	targets  []*simTarget
+	loss     float64
+	jitter   time.Duration
+	trace    func(format string, args ...any)
+	onApply  func(c Command, result any)
+	faults   []string
+	unserved map[string]float64
+	moves    int
+	owners   map[contract.SliceID]string
+	fences   map[uint64]contract.Fence
+	epochs   map[string]contract.Epoch
+}
+
+type simProposal struct {
+	at   time.Duration
+	data []byte
+	done func(any)
+}
+
+type simEvent struct {
+	at time.Duration
+	do func()
+}
+
+func newSim(seed uint64) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, seed)), state: NewState(),
+		unserved: map[string]float64{}, owners: map[contract.SliceID]string{},
+		fences: map[uint64]contract.Fence{}, epochs: map[string]contract.Epoch{},
+		trace: func(string, ...any) {}, onApply: func(Command, any) {},
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.events = append(s.events, simEvent{s.now + d, do})
+}
+
+// send delivers a message between VM and leader, unless it is lost; it may be
+// delayed and duplicated.
+func (s *sim) send(do func()) {
+	copies := 1
+	if s.loss > 0 {
+		if s.rng.Float64() < s.loss {
+			return
+		}
+		if s.rng.Float64() < s.loss {
+			copies = 2
+		}
+	}
+	for range copies {
+		delay := simDelay
+		if s.jitter > 0 && s.rng.Float64() < 0.1 {
+			delay += time.Duration(s.rng.Int64N(int64(s.jitter)))
+		}
+		s.after(delay, do)
+	}
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += simStep
+		due := s.events
+		s.events = nil
+		for _, e := range due {
+			if e.at <= s.now {
+				e.do()
+			} else {
+				s.events = append(s.events, e)
+			}
+		}
+		s.stepLeader()
+		for _, v := range s.vms {
+			v.step(s)
+		}
+		for _, t := range s.targets {
+			t.step(s)
+		}
+		s.checkOwners()
+		s.countUnserved()
+	}
+}
+
+func (s *sim) stepLeader() {
+	if s.planner == nil {
+		if s.now < s.electAt {
+			return
+		}
+		s.planner = NewPlanner("leader")
+		if s.policy != nil {
+			s.planner.SetLossPolicy(s.policy)
+		}
+		s.planner.Elected(s.now)
+	}
+	for len(s.uncommit) > 0 && s.uncommit[0].at <= s.now {
+		p := s.uncommit[0]
+		s.uncommit = s.uncommit[1:]
+		s.commit(p)
+	}
+	if s.now%(2*simStep) == 0 {
+		for _, c := range s.planner.Plan(s.now, s.state) {
+			s.propose(c, nil)
+		}
+	}
+}
+
+func (s *sim) propose(c Command, done func(any)) {
+	data, err := Encode(c)
+	if err != nil {
+		panic(err)
+	}
+	s.uncommit = append(s.uncommit, simProposal{s.now + simCommit, data, done})
+}
+
+func (s *sim) commit(p simProposal) {
+	s.index++
+	s.log = append(s.log, IndexedCommand{s.index, p.data})
+	c, _ := Decode(p.data)
+	before := s.state.revision
+	result, _ := s.state.Apply(s.index, p.data)
+	if s.planner != nil {
+		s.planner.Applied(s.state, c)
+	}
+	if p.done != nil {
+		p.done(result)
+	}
+	if s.state.revision != before {
+		s.trace("%s", describe(c))
+	}
+	s.checkNumbers(c)
+	s.onApply(c, result)
+}
+
+// depose ends the leader's term. Some of its proposals still commit. The new
+// leader's state comes from the last snapshot and the log after it.
+func (s *sim) depose(keep int) {
+	for i, p := range s.uncommit {
+		if i < keep {
+			s.commit(p)
+		}
+	}
+	s.uncommit = nil
+	s.planner = nil
+	s.electAt = s.now + contract.ElectionTimeoutMax
+	restored := NewState()
+	if s.snapshot != nil {
+		restored, _ = Restore(s.snapshot)
+	}
+	for _, e := range s.log {
+		_, _ = restored.Apply(e.Index, e.Data)
+	}
+	want, _ := s.state.Snapshot()
+	got, _ := restored.Snapshot()
+	if string(want) != string(got) {
+		s.fault("state from snapshot and log differs")
+	}
+	s.state, s.snapshot = restored, got
+}
+
+func (s *sim) fault(format string, args ...any) {
+	s.faults = append(s.faults, fmt.Sprintf("%v: ", s.now)+fmt.Sprintf(format, args...))
+}
+
+// checkNumbers finds fences, epochs and owners that went back after a commit.
+func (s *sim) checkNumbers(c Command) {
+	for _, key := range s.state.groupKeys() {
+		for _, id := range s.state.groups[key].ids {
+			entry := s.state.slices[id]
+			a := entry.Assignment
+			for _, hash := range []uint64{entry.Slice.Lo, entry.Slice.Hi} {
+				if a.Fence < s.fences[hash] {
+					s.fault("fence of hash %d went back to %d", hash, a.Fence)
+				}
+				s.fences[hash] = a.Fence
+			}
+			if a.Phase == contract.Owned && s.owners[id] != a.Target {
+				if s.owners[id] != "" {
+					s.moves++
+				}
+				s.owners[id] = a.Target
+			}
+		}
+	}
+	if c.SetDispatch != nil {
+		id := c.SetDispatch.Dispatch.Target
+		epoch := s.state.dispatches[id].Dispatch.Epoch
+		if epoch < s.epochs[id] {
+			s.fault("epoch of %s went back to %d", id, epoch)
+		}
+		s.epochs[id] = epoch
+	}
+}
+
+// claim is a range of hashes for which a target would execute work.
+type claim struct {
+	lo, hi uint64
+	target string
+}
+
+// checkOwners finds hashes for which two targets would execute work, now or
+// when they thaw.
+func (s *sim) checkOwners() {
+	var claims []claim
+	for _, t := range s.targets {
+		claims = append(claims, t.claims(s.now)...)
+	}
+	slices.SortFunc(claims, func(a, b claim) int {
+		if a.lo < b.lo {
+			return -1
+		}
+		return 1
+	})
+	var last claim
+	for i, c := range claims {
+		if i > 0 && c.lo <= last.hi && c.target != last.target {
+			s.fault("%s and %s both execute work of hash %x", last.target, c.target, c.lo)
+		}
+		if i == 0 || c.hi >= last.hi {
+			last = c
+		}
+	}
+}
+
+func (s *sim) countUnserved() {
+	for _, entry := range s.state.Table().Assignments() {
+		if !s.served(entry) {
+			s.unserved[entry.Slice.Service] += simStep.Seconds()
+		}
+	}
+}
+
+// served reports whether a request for the slice would reach its owner.
+func (s *sim) served(entry ContractSlice) bool {
+	route, err := s.state.Table().Route(entry.Slice.Service, entry.Slice.Residency, entry.Slice.Lo)
+	if err != nil {
+		return false
+	}
+	v, t := s.vm(route.Dispatch.VM), s.target(route.Target.ID)
+	if !v.alive(s.now) || s.now >= v.leaseUntil || !t.up() || v.cut[t.ID] || t.Incarnation != route.Target.Incarnation {
+		return false
+	}
+	g := v.grants[t.ID]
+	return g != nil && g.epoch == route.Dispatch.Epoch && !g.expired && t.grants(route.Slice.ID, route.Fence, s.now)
+}
+
+func (s *sim) vm(name string) *simVM {
+	for _, v := range s.vms {
+		if v.VM.Name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+func (s *sim) target(id string) *simTarget {
+	for _, t := range s.targets {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/table.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/flamingoreel/flamingoreel/internal/contract"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/text"
+)
+
+// Route says where work of a slice goes. Slice and Fence are zero for
+// services whose targets serve any key.
+type Route struct {
+	Slice    contract.Slice
+	Fence    contract.Fence
+	Target   Target
+	Dispatch contract.Dispatch
+}
+
+// Contract is what the dispatcher of a target needs.
+type Contract struct {
+	Dispatch contract.Dispatch
+	Target   Target
+	Service  text.Service
+	// Slices are the slices that the target owns in any phase.
+	Slices []ContractSlice
+}
+
+// ContractSlice is a slice with its assignment.
+type ContractSlice struct {
+	Slice      contract.Slice
+	Assignment contract.Assignment
+}
+
+// Table is an immutable view of the state for traffic. It is safe for
+// concurrent use. Callers must not change what its methods return.
+type Table struct {
+	version  uint64
+	number   uint64
+	layout   *layout
+	vms      []VM
+	targets  []Target
+	position map[string]int
+	// dispatches is parallel to targets.
+	dispatches []contract.Dispatch
+	groups     map[groupKey][]ContractSlice
+	// routes are the usable targets of each service in ID order.
+	routes  map[string][]Route
+	holders []holderSet
+
+	contractsOnce sync.Once
+	contracts     map[string][]Contract
+	assignments   []ContractSlice
+}
+
+// Version returns the index of the last command that changed the view.
+func (t *Table) Version() uint64 { return t.version }
+
+// ConfigNumber returns the number of the configuration text in force.
+func (t *Table) ConfigNumber() uint64 { return t.number }
+
+// Text returns the configuration text, nil before the first change.
+func (t *Table) Text() *text.Text { return t.layout.text }
+
+// Service returns the service of the text.
+func (t *Table) Service(name string) (*text.Service, bool) {
+	service, ok := t.layout.services[name]
+	return service, ok
+}
+
+// Tenant returns the tenant of the text, or the entry for tenants not listed.
+func (t *Table) Tenant(name string) (*text.Tenant, bool) {
+	if tenant, ok := t.layout.tenants[name]; ok {
+		return tenant, true
+	}
+	tenant, ok := t.layout.tenants[text.AnyTenant]
+	return tenant, ok
+}
+
+// DataCentreIn reports whether the data centre may receive work. A data centre
+// that the text does not list may not.
+func (t *Table) DataCentreIn(name string) bool { return t.layout.in[name] }
+
+// RegionOf returns the region of a data centre, empty if it is not listed.
+func (t *Table) RegionOf(dataCentre string) string { return t.layout.regionOf[dataCentre] }
+
+// Route returns the owner of the hash. It fails with errkind.UnknownService
+// for a service that is not listed or not exclusive, and with errkind.NoOwner
+// while nobody may serve the hash. An owner that drains keeps its slices until
+// each of them is draining.
+func (t *Table) Route(service string, res contract.Residency, hash uint64) (Route, *errkind.Error) {
+	group, ok := t.groups[groupKey{Service: service, Residency: res}]
+	if !ok {
+		return Route{}, t.noGroup(service)
+	}
+	i := sort.Search(len(group), func(i int) bool { return group[i].Slice.Hi >= hash })
+	entry := group[i]
+	if entry.Assignment.Phase != contract.Owned {
+		return Route{}, errkind.New(errkind.NoOwner, "slice %d is %s", entry.Slice.ID, entry.Assignment.Phase)
+	}
+	position, ok := t.position[entry.Assignment.Target]
+	if !ok {
+		return Route{}, errkind.New(errkind.NoOwner, "slice %d has an unknown owner", entry.Slice.ID)
+	}
+	target := t.targets[position]
+	if !t.serves(target, entry) {
+		return Route{}, errkind.New(errkind.NoOwner, "owner of slice %d is lost or out", entry.Slice.ID)
+	}
+	dispatch := t.dispatches[position]
+	if dispatch.VM == "" {
+		return Route{}, errkind.New(errkind.NoOwner, "owner of slice %d has no dispatcher", entry.Slice.ID)
+	}
+	return Route{Slice: entry.Slice, Fence: entry.Assignment.Fence, Target: target, Dispatch: dispatch}, nil
+}
+
+func (t *Table) noGroup(service string) *errkind.Error {
+	if s, ok := t.layout.services[service]; !ok || s.Ownership != text.Exclusive {
+		return errkind.New(errkind.UnknownService, "no exclusive service %q", service)
+	}
+	return errkind.New(errkind.NoOwner, "service %q has no slices for this residency", service)
+}
+
+// serves reports whether the owner of a slice may be sent its work.
+func (t *Table) serves(target Target, entry ContractSlice) bool {
+	if target.Lost || target.Incarnation != entry.Assignment.Incarnation {
+		return false
+	}
+	if !t.layout.in[target.DataCentre] {
+		return false
+	}
+	return entry.Slice.Residency.Allows(t.layout.regionOf[target.DataCentre])
+}
+
+// Routes returns the usable targets of a service for the residency.
+func (t *Table) Routes(service string, res contract.Residency) []Route {
+	all := t.routes[service]
+	if res == "" {
+		return all
+	}
+	var allowed []Route
+	for _, route := range all {
+		if res.Allows(t.layout.regionOf[route.Target.DataCentre]) {
+			allowed = append(allowed, route)
+		}
+	}
+	return allowed
+}
+
+// Servable reports whether at least one target of the service is usable for
+// the residency.
+func (t *Table) Servable(service string, res contract.Residency) bool {
+	for _, route := range t.routes[service] {
+		if res.Allows(t.layout.regionOf[route.Target.DataCentre]) {
+			return true
+		}
+	}
+	return false
+}
+
+// VM returns a registered VM.
+func (t *Table) VM(name string) (VM, bool) {
+	i := sort.Search(len(t.vms), func(i int) bool { return t.vms[i].Name >= name })
+	if i == len(t.vms) || t.vms[i].Name != name {
+		return VM{}, false
+	}
+	return t.vms[i], true
+}
+
+// VMs returns the registered VMs in name order.
+func (t *Table) VMs() []VM { return t.vms }
+
+// Targets returns the registered targets in ID order.
+func (t *Table) Targets() []Target { return t.targets }
+
+// DispatchOf returns the dispatch contract of a target.
+func (t *Table) DispatchOf(target string) (contract.Dispatch, bool) {
+	i, ok := t.position[target]
+	if !ok || t.dispatches[i].VM == "" {
+		return contract.Dispatch{}, false
+	}
+	return t.dispatches[i], true
+}
+
+// HolderSets returns the names of the VMs that may hold records of the
+// residency: the current set first, then earlier sets, the newest first.
+func (t *Table) HolderSets(res contract.Residency) [][]string {
+	var sets [][]string
+	for i := len(t.holders) - 1; i >= 0; i-- {
+		var names []string
+		for _, member := range t.holders[i].Members {
+			if res.Allows(t.layout.regionOf[member.DataCentre]) {
+				names = append(names, member.Name)
+			}
+		}
+		if len(names) > 0 || len(sets) == 0 {
+			sets = append(sets, names)
+		}
+	}
+	return sets
+}
