--- /dev/null
+++ b/internal/session/path_test.go
@@ -0,0 +1,74 @@
+package session
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/flamingoreel/flamingoreel/internal/standin"
+)
+
+// smallText is the text of the small cluster: one exclusive service in three
+// regions, a tenant with a home region and all other tenants.
+const smallText = `name: zdbs
+regions:
+  - name: osrednja
+    data_centres: [{name: lj-a}, {name: lj-b}]
+  - name: stajerska
+    data_centres: [{name: mb-a}, {name: mb-b}]
+  - name: primorska
+    data_centres: [{name: kp-a}, {name: kp-b}]
+services:
+  - name: ledger
+    ownership: exclusive
+    slices: 6
+    endpoints: 3
+    slots: 6
+    connections: 110
+tenants:
+  - name: club-maribor
+    home_regions: [stajerska]
+  - name: "*"
+`
+
+// recordClock is the time that callers wait after the first start, so that
+// record holders know that no earlier incarnation holds their requests.
+const recordClock = 31 * time.Second
+
+// startSmall starts the small cluster with one target per region and brings it
+// into service.
+func startSmall(t *testing.T, change func(*standin.Config)) *cluster {
+	c := newCluster(t)
+	c.startTarget("ledger-lj", "ledger", "lj-a", change)
+	c.startTarget("ledger-mb", "ledger", "mb-a", change)
+	c.startTarget("ledger-kp", "ledger", "kp-a", change)
+	c.waitReady()
+	c.apply("lj-1", smallText)
+	c.waitAssigned("lj-1")
+	time.Sleep(recordClock)
+	return c
+}
+
+// session runs a golden session in virtual time.
+func session(t *testing.T, name string, steps func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startSmall(t, nil)
+		defer c.close()
+		steps(c)
+		goldie.New(t).Assert(t, name, c.out.Bytes())
+	})
+}
+
+// Guards against a posting that runs again when it is sent twice through
+// different VMs, and against answers that are not the same.
+func TestSessionPostTwice(t *testing.T) {
+	session(t, "post_twice", func(c *cluster) {
+		sent := time.Now()
+		c.post("lj-1", "ledger", "club-celje", "member-7", "dues-1", sent)
+		c.post("kp-1", "ledger", "club-celje", "member-7", "dues-1", sent)
+		c.get("mb-1", "ledger", "club-celje", "member-7")
+		c.logf("executions: %d, most per id: %d", c.ledger.Executions().Total, c.ledger.Executions().MaxPerID)
+	})
+}
