--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -65,6 +65,10 @@
 		return exitSettings
 	}
 	cfg.Exit = func() { os.Exit(exitCrash) }
+	if err := openJournal(&cfg, c.String("journal")); err != nil {
+		log.WithError(err).Error("journal cannot be opened")
+		return exitFailed
+	}
 	target, err := standin.Start(cfg)
 	if err != nil {
 		log.WithError(err).Error("start failed")
@@ -79,6 +83,20 @@
 	return exitOK
 }
 
+// openJournal gives the target a ledger that records its postings in a file.
+func openJournal(cfg *standin.Config, name string) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cfg.Ledger = standin.NewLedger()
+	cfg.Ledger.SetJournal(f)
+	return nil
+}
+
 // drain lets the system move the target's slices for the grace period, then
 // refuses new work and waits for running work.
 func drain(target *standin.Target, grace, timeout time.Duration) {
--- a/cmd/standin/settings.go
+++ b/cmd/standin/settings.go
@@ -58,6 +58,7 @@
 		count("seed", 1, "seed of the jitter"),
 		count("cold-requests", standin.DefaultColdRequests, "requests that run cold after the start; -1 starts warm"),
 		number("cold-factor", standin.DefaultColdFactor, "factor on the service time of cold requests"),
+		text("journal", "", "file to which the idempotency key of every posting is appended"),
 		duration("load-lag", 0, "age of the load report"),
 		duration("drain-grace", time.Second, "time in which new work is still accepted after a stop signal"),
 		duration("drain-timeout", 10*time.Second, "longest wait for running work after the grace"),
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -47,11 +47,11 @@
 
 func newWorker(d *Dispatcher, c control.Contract) *worker {
 	w := &worker{
-		d:        d,
-		client:   target.NewClient(c.Target.Address, c.Service.Slots+spareConnections, d.cfg.Dial),
-		gate:     dispatch.NewGateWithClock(gateLimits(c), d.cfg.Now),
-		kick:     make(chan struct{}, 1),
-		done:     make(chan struct{}),
+		d:      d,
+		client: target.NewClient(c.Target.Address, c.Service.Slots+spareConnections, d.cfg.Dial),
+		gate:   dispatch.NewGateWithClock(gateLimits(c), d.cfg.Now),
+		kick:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
 		renewer: target.NewRenewer(d.cfg.Now(), target.Contract{
 			Target: c.Target.ID, Incarnation: c.Target.Incarnation, VM: d.cfg.VM,
 			Epoch: c.Dispatch.Epoch, ChecksGrants: c.Target.ChecksGrants,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,7 +42,7 @@
 	Region     string
 	DataCentre string
 	Router     Router
-	Records *record.Coordinator
+	Records    *record.Coordinator
 	// Now is the monotonic time since the process started.
 	Now      func() time.Duration
 	Seed     uint64
--- a/internal/session/cluster_test.go
+++ b/internal/session/cluster_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/flamingoreel/flamingoreel/internal/standin"
 	"github.com/flamingoreel/flamingoreel/internal/target"
@@ -95,6 +96,7 @@
 	cfg.DialTarget = c.net.dialer(host)
 	cfg.DialLink = func(ctx context.Context, addr string) (net.Conn, error) { return c.net.dial(ctx, host, addr) }
 	cfg.Logger = &log.Logger{Handler: discard.New()}
+	cfg.Registry = prometheus.NewRegistry()
 	v, err := vm.New(cfg)
 	if err != nil {
 		c.t.Fatalf("VM %s: %v", name, err)
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -1,6 +1,9 @@
 package standin
 
-import "sync"
+import (
+	"io"
+	"sync"
+)
 
 // Ledger keeps an account per tenant and key, and counts executions per
 // request ID. It is safe for concurrent use.
@@ -9,6 +12,7 @@
 	accounts   map[accountID]*account
 	executions map[RequestID]int
 	total      int
+	journal    io.Writer
 }
 
 type accountID struct{ tenant, key string }
@@ -36,11 +40,23 @@
 	return &Ledger{accounts: map[accountID]*account{}, executions: map[RequestID]int{}}
 }
 
+// SetJournal makes the ledger write the idempotency key of every posting, one
+// per line, before the posting is answered. A write to a file is seen by other
+// processes even if this one is killed afterwards.
+func (l *Ledger) SetJournal(w io.Writer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.journal = w
+}
+
 // post appends a posting and counts the execution.
 func (l *Ledger) post(id RequestID, key string, amount int64) Balance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.count(id)
+	if l.journal != nil {
+		_, _ = io.WriteString(l.journal, id.Key+"\n")
+	}
 	a := l.accounts[accountID{id.Tenant, key}]
 	if a == nil {
 		a = &account{}
--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -48,9 +48,9 @@
 	store     *storage.Store
 	recovered storage.Recovered
 	// formed says that storage held a log, so that its membership is known.
-	formed bool
-	replica   *consensus.Node
-	failed    bool
+	formed  bool
+	replica *consensus.Node
+	failed  bool
 	// storageFailed mirrors failed for readers outside the control goroutine.
 	storageFailed atomic.Bool
 	// reported holds the configuration numbers that VMs reported to the leader.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -100,7 +100,6 @@
 		return nil, err
 	}
 	v.links = links
-	v.registerMetrics()
 	for name, addr := range cfg.Peers {
 		links.SetPeer(name, addr)
 	}
@@ -109,6 +108,7 @@
 		_ = links.Close()
 		return nil, err
 	}
+	v.registerMetrics()
 	v.registerHandlers()
 	v.start()
 	return v, nil
