--- a/cmd/flamingoreelbench/main.go
+++ b/cmd/flamingoreelbench/main.go
@@ -61,7 +61,7 @@
 		close(watched)
 	}()
 	result, err := load.Run(ctx, load.Config{
-		Entries: split(c.String("entries")), Streams: streams,
+		Entries: split(c.String("entries")), Checks: checks(split(c.String("admins"))), Streams: streams,
 		Rate: c.Float("rate"), Duration: c.Duration("duration"), Deadline: c.Duration("deadline"),
 		Resends: c.Int("resends"), MaxInFlight: c.Int("max-in-flight"), Seed: c.Uint64("seed"),
 	})
@@ -74,6 +74,15 @@
 	return audit(result, split(c.String("journals")))
 }
 
+// checks returns the readiness URLs of the admin addresses.
+func checks(admins []string) []string {
+	var urls []string
+	for _, admin := range admins {
+		urls = append(urls, admin+"/readyz")
+	}
+	return urls
+}
+
 // audit fails the run when a posting was lost, doubled or falsely refused.
 func audit(result *load.Result, journals []string) error {
 	if len(journals) == 0 {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -28,6 +28,9 @@
 type Config struct {
 	// Entries are base URLs of VMs for callers.
 	Entries []string
+	// Checks are readiness URLs, one per entry, for the balancer; empty
+	// without one.
+	Checks  []string
 	Streams []Stream
 	// Rate is in requests a second over all streams.
 	Rate     float64
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -33,8 +33,8 @@
 	fmt.Fprintf(w, "requests: answered %d, not_run %d, unknown %d, resends of postings %d, not sent %d\n",
 		total.Answered, total.NotRun, total.Unknown, r.resends, r.unsent)
 	fmt.Fprintf(w, "postings: %d\n", len(r.postings))
-	for _, status := range sortedKeys(r.statuses) {
-		fmt.Fprintf(w, "status %d: %d\n", status, r.statuses[status])
+	for _, kind := range sortedKeys(r.results) {
+		fmt.Fprintf(w, "final answer %s: %d\n", kind, r.results[kind])
 	}
 }
 
@@ -89,8 +89,8 @@
 	}
 }
 
-func sortedKeys[K int | string, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
 	}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -35,7 +35,7 @@
 	mu       sync.Mutex
 	seconds  []Second
 	latency  map[string]*hdrhistogram.Histogram
-	statuses map[int]int
+	results  map[string]int
 	keys     map[string]*keyHistory
 	postings []Posting
 	resends  int
@@ -53,10 +53,10 @@
 
 func newResult(d time.Duration) *Result {
 	return &Result{
-		seconds:  make([]Second, int(d/time.Second)+1),
-		latency:  make(map[string]*hdrhistogram.Histogram),
-		statuses: make(map[int]int),
-		keys:     make(map[string]*keyHistory),
+		seconds: make([]Second, int(d/time.Second)+1),
+		latency: make(map[string]*hdrhistogram.Histogram),
+		results: make(map[string]int),
+		keys:    make(map[string]*keyHistory),
 	}
 }
 
@@ -73,10 +73,10 @@
 }
 
 // add counts one request with its final outcome.
-func (r *Result) add(q request, outcome errkind.Outcome, status int, at, took time.Duration) {
+func (r *Result) add(q request, outcome errkind.Outcome, kind string, at, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.statuses[status]++
+	r.results[kind]++
 	second := &r.seconds[min(int(at/time.Second), len(r.seconds)-1)]
 	switch outcome {
 	case errkind.Answered:
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -23,6 +23,7 @@
 	began  time.Time
 	wait   sync.WaitGroup
 	slots  chan struct{}
+	lb     *balancer
 	ids    uint64
 }
 
@@ -41,7 +42,10 @@
 		return nil, err
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: cfg.MaxInFlight, MaxIdleConns: 0, IdleConnTimeout: 30 * time.Second}
+	lbCtx, stop := context.WithCancel(ctx)
+	defer stop()
 	r := &runner{
+		lb:  newBalancer(lbCtx, cfg.Entries, cfg.Checks),
 		cfg: cfg, client: &http.Client{Transport: transport},
 		result: newResult(cfg.Duration), began: time.Now(),
 		slots: make(chan struct{}, cfg.MaxInFlight),
@@ -98,39 +102,39 @@
 	defer r.wait.Done()
 	defer func() { <-r.slots }()
 	started := time.Now()
-	outcome, status := r.attempt(ctx, q, via, started)
+	outcome, kind := r.attempt(ctx, q, via, started)
 	for n := 1; q.id != "" && n <= r.cfg.Resends && outcome != errkind.Answered; n++ {
 		time.Sleep(time.Duration(n) * 50 * time.Millisecond)
 		r.result.resent()
-		outcome, status = r.resolve(ctx, q, via+n, started, outcome)
+		outcome, kind = r.resolve(ctx, q, via+n, started, outcome)
 	}
-	r.result.add(q, outcome, status, started.Sub(r.began), time.Since(started))
+	r.result.add(q, outcome, kind, started.Sub(r.began), time.Since(started))
 }
 
 // resolve sends a posting again. Once an attempt ended with an unknown
 // outcome, a later not_run does not make the posting known as not run.
-func (r *runner) resolve(ctx context.Context, q request, via int, started time.Time, before errkind.Outcome) (errkind.Outcome, int) {
-	outcome, status := r.attempt(ctx, q, via%len(r.cfg.Entries), started)
+func (r *runner) resolve(ctx context.Context, q request, via int, started time.Time, before errkind.Outcome) (errkind.Outcome, string) {
+	outcome, kind := r.attempt(ctx, q, via, started)
 	if outcome == errkind.NotRun && before == errkind.Unknown {
-		return errkind.Unknown, status
+		return errkind.Unknown, kind
 	}
-	return outcome, status
+	return outcome, kind
 }
 
 // attempt sends a request once and returns its outcome. A broken connection
 // says nothing about the outcome.
-func (r *runner) attempt(ctx context.Context, q request, via int, firstSent time.Time) (errkind.Outcome, int) {
+func (r *runner) attempt(ctx context.Context, q request, via int, firstSent time.Time) (errkind.Outcome, string) {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Deadline+time.Second)
 	defer cancel()
-	resp, err := r.client.Do(r.build(ctx, q, r.cfg.Entries[via], firstSent))
+	resp, err := r.client.Do(r.build(ctx, q, r.lb.pick(via), firstSent))
 	if err != nil {
-		return errkind.Unknown, 0
+		return errkind.Unknown, "connection"
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return errkind.Unknown, 0
+		return errkind.Unknown, "connection"
 	}
-	return errkind.Outcome(resp.Header.Get(target.HeaderOutcome)), resp.StatusCode
+	return errkind.Outcome(resp.Header.Get(target.HeaderOutcome)), result(resp)
 }
 
 func (r *runner) build(ctx context.Context, q request, entry string, firstSent time.Time) *http.Request {
@@ -152,3 +156,12 @@
 	}
 	return req
 }
+
+// result names an answer in the report: its status and error kind.
+func result(resp *http.Response) string {
+	name := strconv.Itoa(resp.StatusCode)
+	if kind := resp.Header.Get(target.HeaderErrorKind); kind != "" {
+		name += " " + kind
+	}
+	return name
+}
