--- /dev/null
+++ b/internal/control/property_test.go
@@ -0,0 +1,234 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// simCases is the number of interleavings in an ordinary run.
+const simCases = 12
+
+// envNumber reads a number from the environment.
+func envNumber(name string, otherwise int64) int64 {
+	if n, err := strconv.ParseInt(os.Getenv(name), 10, 64); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// Guards against two owners of a hash, fences, epochs or numbers that go back,
+// lost changes and assignments, replicas that differ, and slices that stay
+// without service after all faults ended. FLAMINGOREEL_SOAK_SEEDS sets the
+// number of interleavings.
+func TestRandomInterleavings(t *testing.T) {
+	seed := envNumber("FLAMINGOREEL_TEST_SEED", 1)
+	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters.MinSuccessfulTests = int(envNumber("FLAMINGOREEL_SOAK_SEEDS", simCases))
+	properties := gopter.NewProperties(parameters)
+	properties.Property("one owner, nothing goes back, nothing is lost", prop.ForAllNoShrink(
+		func(interleaving uint64) string { return strings.Join(interleave(interleaving), "\n") },
+		gen.UInt64(),
+	))
+	if !properties.Run(gopter.ConsoleReporter(false)) {
+		t.Errorf("FLAMINGOREEL_TEST_SEED=%d go test ./internal/control -run TestRandomInterleavings", seed)
+	}
+}
+
+// Guards against the return of a fault that a certain interleaving showed.
+// FLAMINGOREEL_INTERLEAVING replays the argument that the property printed.
+func TestInterleaving(t *testing.T) {
+	seed, _ := strconv.ParseUint(os.Getenv("FLAMINGOREEL_INTERLEAVING"), 10, 64)
+	if faults := interleave(seed); len(faults) > 0 {
+		t.Error(strings.Join(faults[:min(len(faults), 20)], "\n"))
+	}
+}
+
+// operator changes the text at random, sometimes with an old number, and keeps
+// what was acknowledged.
+type operator struct {
+	out      bool
+	version  int
+	accepted map[uint64]string
+}
+
+func (o *operator) change(s *sim) {
+	o.version++
+	text := simText
+	if o.out = !o.out; o.out {
+		text = strings.Replace(text, "n1, state: in", "n1, state: out", 1)
+	}
+	text += fmt.Sprintf("# %d\n", o.version)
+	base := s.state.ConfigNumber()
+	s.propose(Command{ChangeConfig: &ChangeConfig{Base: base, Text: []byte(text)}}, func(r any) {
+		if result := r.(*ChangeResult); result.Accepted {
+			if before, ok := o.accepted[result.Number]; ok && before != text {
+				s.fault("two texts were accepted as number %d", result.Number)
+			}
+			o.accepted[result.Number] = text
+		}
+	})
+}
+
+// check compares the text in force with what was acknowledged.
+func (o *operator) check(s *sim) {
+	for number, text := range o.accepted {
+		if number > s.state.ConfigNumber() {
+			s.fault("number %d was acknowledged and is lost", number)
+		}
+		if number == s.state.ConfigNumber() && text != string(s.state.raw) {
+			s.fault("text of number %d differs from the acknowledged one", number)
+		}
+	}
+}
+
+// interleave runs one random interleaving of faults and changes.
+func interleave(seed uint64) []string {
+	s := newSession(seed, seed%2 == 0)
+	o := &operator{accepted: map[uint64]string{}}
+	s.loss, s.jitter = 0.05, 200*time.Millisecond
+	if os.Getenv("FLAMINGOREEL_TRACE") != "" {
+		s.trace = func(format string, args ...any) {
+			fmt.Printf("%8v %s\n", s.now, fmt.Sprintf(format, args...))
+		}
+	}
+	for range 30 {
+		s.misbehave(o)
+		s.run(time.Duration(s.rng.IntN(400)) * time.Millisecond)
+		o.check(s)
+		if len(s.faults) > 0 {
+			return s.faults
+		}
+	}
+	s.heal()
+	s.run(10 * time.Second)
+	o.check(s)
+	s.checkReplicas()
+	s.checkGroups()
+	if n := len(s.outage); n > 0 {
+		s.fault("%d slices are not served after all faults ended", n)
+	}
+	return s.faults
+}
+
+// misbehave starts or ends one fault.
+func (s *sim) misbehave(o *operator) {
+	v := s.vms[s.rng.IntN(len(s.vms))]
+	t := s.targets[s.rng.IntN(len(s.targets))]
+	s.trace("fault on %s %s", v.Name, t.ID)
+	switch s.rng.IntN(13) {
+	case 0:
+		v.pausedTill = s.now + time.Duration(s.rng.IntN(1500))*time.Millisecond
+	case 1:
+		v.restart(s, 1)
+		v.seen = nil
+		for _, t := range s.targets {
+			s.announce(t)
+		}
+	case 2:
+		v.cutLeader = !v.cutLeader
+	case 3, 4:
+		v.cut[t.ID] = !v.cut[t.ID]
+	case 5:
+		for _, t := range s.targets {
+			v.cut[t.ID] = true
+		}
+	case 6, 7:
+		t.frozen = !t.frozen
+	case 8:
+		t.restart(s, 1)
+		s.announce(t)
+	case 9:
+		if s.planner != nil {
+			s.depose(s.rng.IntN(4))
+		}
+	case 10:
+		o.change(s)
+	case 11:
+		v.Stopping = true
+	case 12:
+		t.hot = s.rng.Uint64()
+		if entries := s.state.Table().Contracts(v.Name, v.Incarnation); len(entries) > 0 && len(entries[0].Slices) > 0 {
+			slice := entries[0].Slices[0].Slice
+			t = s.target(entries[0].Target.ID)
+			t.hot = slice.Lo + (slice.Hi-slice.Lo)/2
+		}
+	}
+}
+
+// heal ends all faults.
+func (s *sim) heal() {
+	s.trace("heal")
+	s.loss, s.jitter = 0, 0
+	for _, v := range s.vms {
+		v.cutLeader, v.pausedTill = false, 0
+		clear(v.cut)
+		if v.Stopping {
+			v.restart(s, 1)
+		}
+	}
+	for _, t := range s.targets {
+		t.frozen, t.hot = false, 0
+		s.announce(t)
+	}
+	s.propose(Command{ChangeConfig: &ChangeConfig{Base: s.state.ConfigNumber(), Text: []byte(simText)}}, nil)
+}
+
+// checkGroups finds gaps and overlaps between slices.
+func (s *sim) checkGroups() {
+	for _, key := range s.state.groupKeys() {
+		next := uint64(0)
+		for i, id := range s.state.groups[key].ids {
+			slice := s.state.slices[id].Slice
+			if slice.Lo != next || slice.Hi < slice.Lo {
+				s.fault("slice %d begins at %x, want %x", id, slice.Lo, next)
+			}
+			if i == len(s.state.groups[key].ids)-1 && slice.Hi != math.MaxUint64 {
+				s.fault("the last slice ends at %x", slice.Hi)
+			}
+			next = slice.Hi + 1
+		}
+	}
+}
+
+// Guards against log entries of any bytes that make a replica panic or that
+// replicas apply differently.
+func TestApplyOfAnyBytes(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(envNumber("FLAMINGOREEL_TEST_SEED", 1))
+	properties := gopter.NewProperties(parameters)
+	valid, _ := Encode(Command{Split: &Split{Slice: 1, Fence: 1, At: 7}})
+	properties.Property("no panic, same bytes", prop.ForAll(
+		func(data []byte, at int) bool {
+			a, b := newSessionState(t), newSessionState(t)
+			mixed := append(append([]byte(nil), valid[:at%len(valid)]...), data...)
+			for i, s := range []*State{a, b, a, b} {
+				_, _ = s.Apply(s.Version()+1, [][]byte{data, mixed}[i/2])
+			}
+			x, _ := a.Snapshot()
+			y, _ := b.Snapshot()
+			return string(x) == string(y)
+		},
+		gen.SliceOf(gen.UInt8()), gen.IntRange(0, math.MaxInt32),
+	))
+	properties.TestingRun(t)
+}
+
+func newSessionState(t *testing.T) *State {
+	s := NewState()
+	data, err := Encode(Command{ChangeConfig: &ChangeConfig{Text: []byte(simText)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Apply(1, data); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
--- a/internal/control/session_test.go
+++ b/internal/control/session_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 )
 
@@ -37,35 +40,193 @@
 	s.run(50 * time.Millisecond)
 	s.propose(Command{ChangeConfig: &ChangeConfig{Text: []byte(simText)}}, nil)
 	s.run(2 * time.Second)
-	clear(s.unserved)
-	s.moves = 0
+	s.unserved, s.longest, s.moves = 0, 0, 0
 	return s
 }
 
+// describe returns the field of a command that is set.
 func describe(c Command) string {
-	switch {
-	case c.ChangeConfig != nil:
-		return fmt.Sprintf("config base %d", c.ChangeConfig.Base)
-	case c.RegisterVM != nil:
-		return fmt.Sprintf("vm %s incarnation %d stopping %t", c.RegisterVM.Name, c.RegisterVM.Incarnation, c.RegisterVM.Stopping)
-	case c.RegisterTarget != nil:
-		return fmt.Sprintf("target %s incarnation %d", c.RegisterTarget.ID, c.RegisterTarget.Incarnation)
-	case c.MarkTarget != nil:
-		return fmt.Sprintf("mark %s %s lost %t", c.MarkTarget.ID, c.MarkTarget.State, c.MarkTarget.Lost)
-	case c.SetDispatch != nil:
-		d := c.SetDispatch.Dispatch
-		return fmt.Sprintf("dispatch %s to %s/%d epoch %d", d.Target, d.VM, d.VMIncarnation, d.Epoch)
-	case c.Assign != nil:
-		a := c.Assign.Assignment
-		return fmt.Sprintf("assign %d to %s/%d fence %d", a.Slice, a.Target, a.Incarnation, a.Fence)
-	case c.Drain != nil:
-		return fmt.Sprintf("drain %d fence %d", c.Drain.Slice, c.Drain.Fence)
-	case c.Unassign != nil:
-		return fmt.Sprintf("unassign %d fence %d", c.Unassign.Slice, c.Unassign.Fence)
-	case c.Hold != nil:
-		return fmt.Sprintf("hold %d fence %d", c.Hold.Slice, c.Hold.Fence)
+	if c.ChangeConfig != nil {
+		return fmt.Sprintf("ChangeConfig base %d, %d bytes", c.ChangeConfig.Base, len(c.ChangeConfig.Text))
+	}
+	v := reflect.ValueOf(c)
+	for i := range v.NumField() {
+		if !v.Field(i).IsNil() {
+			return fmt.Sprintf("%s %+v", v.Type().Field(i).Name, v.Field(i).Elem().Interface())
+		}
+	}
+	return ""
+}
+
+// change proposes a text and returns where its result will be.
+func (s *sim) change(base uint64, text string) *ChangeResult {
+	var result ChangeResult
+	s.propose(Command{ChangeConfig: &ChangeConfig{Base: base, Text: []byte(text)}}, func(r any) {
+		result = *r.(*ChangeResult)
+		s.trace("result accepted %t number %d", result.Accepted, result.Number)
+	})
+	return &result
+}
+
+// session is a golden session. After run, each slice must be served again;
+// longest bounds the time without service of any slice, 0 for no bound.
+type session struct {
+	name    string
+	checks  bool
+	longest time.Duration
+	run     func(s *sim)
+}
+
+var sessions = []session{
+	{"silent-control-vm", true, 0, func(s *sim) {
+		s.vms[5].cutLeader = true
+		s.run(time.Second)
+		s.change(1, simText+"# two\n")
+		s.run(time.Minute)
+		s.change(2, simText+"# three\n")
+		s.run(time.Second)
+		s.vms[5].cutLeader = false
+		s.run(2 * time.Second)
+	}},
+	{"racing-operators", true, 1, func(s *sim) {
+		s.change(1, simText+"# first\n")
+		s.change(1, simText+"# second\n")
+		s.run(time.Second)
+		s.change(1, simText+"# first\n")
+		s.run(time.Second)
+	}},
+	{"changes-and-restart", true, 0, func(s *sim) {
+		trace := s.trace
+		s.trace = func(string, ...any) {}
+		for n := range 300 {
+			s.change(uint64(n+1), fmt.Sprintf("%s# change %d\n", simText, n))
+			s.run(25 * time.Millisecond)
+			if n%100 == 50 {
+				s.depose(0)
+				s.run(500 * time.Millisecond)
+			}
+		}
+		s.trace = trace
+		s.depose(0)
+		s.run(2 * time.Second)
+		s.trace("number %d", s.state.ConfigNumber())
+	}},
+	{"frozen-owner-returns", true, contract.RecoveryLimit, func(s *sim) {
+		s.targets[2].frozen = true
+		s.run(3 * time.Second)
+		s.targets[2].frozen = false
+		s.run(5 * time.Second)
+	}},
+	{"owner-does-not-check-grants", false, 0, func(s *sim) {
+		s.targets[0].frozen = true
+		s.run(3 * time.Second)
+		s.trace("thaw")
+		s.targets[0].frozen = false
+		s.run(5 * time.Second)
+	}},
+	{"target-restarts", false, contract.RecoveryLimit, func(s *sim) {
+		s.targets[0].restart(s, 1)
+		s.targets[0].State = Cold
+		s.announce(s.targets[0])
+		s.run(time.Second)
+		s.targets[0].State = Warm
+		s.run(4 * time.Second)
+	}},
+	{"data-centre-out-and-back", true, contract.RecoveryLimit, func(s *sim) {
+		s.change(1, strings.Replace(simText, "n1, state: in", "n1, state: out", 1))
+		s.run(5 * time.Second)
+		s.trace("back")
+		s.change(2, simText)
+		s.run(8 * time.Second)
+	}},
+	{"all-targets-apparently-lost", true, 0, func(s *sim) {
+		for _, v := range s.vms {
+			for _, t := range s.targets {
+				v.cut[t.ID] = true
+			}
+		}
+		s.run(5 * time.Second)
+		s.trace("reachable")
+		for _, v := range s.vms {
+			clear(v.cut)
+		}
+		s.run(2 * time.Second)
+	}},
+	{"observer-cut-off", true, contract.RecoveryLimit, func(s *sim) {
+		for _, t := range s.targets {
+			s.vms[0].cut[t.ID] = true
+		}
+		s.run(5 * time.Second)
+	}},
+	{"vm-killed", true, contract.RecoveryLimit, func(s *sim) {
+		s.vms[1].dead = true
+		s.run(3 * time.Second)
+	}},
+	{"leader-and-vm-killed", true, contract.RecoveryLimit, func(s *sim) {
+		s.vms[1].dead = true
+		s.depose(1)
+		s.run(3 * time.Second)
+	}},
+	{"vm-restarts-within-lease", true, contract.RecoveryLimit, func(s *sim) {
+		s.vms[1].restart(s, 1)
+		s.run(3 * time.Second)
+	}},
+	{"planned-stop-of-vm", true, contract.RecoveryLimit, func(s *sim) {
+		s.vms[1].Stopping = true
+		s.run(2 * time.Second)
+		s.vms[1].dead = true
+		s.run(2 * time.Second)
+	}},
+	{"planned-stop-of-target", true, contract.RecoveryLimit, func(s *sim) {
+		s.targets[3].State = Leaving
+		s.announce(s.targets[3])
+		s.run(2 * time.Second)
+		s.targets[3].dead = true
+		s.run(62 * time.Second)
+	}},
+}
+
+// Guards against decisions of the planner that differ from the reviewed ones,
+// that leave a slice without service for too long, that let two targets
+// execute work of one hash, or that differ between replicas.
+func TestSessions(t *testing.T) {
+	for _, c := range sessions {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSession(1, c.checks)
+			var out strings.Builder
+			start := s.now
+			s.trace = func(format string, args ...any) {
+				fmt.Fprintf(&out, "%6d ms  %s\n", (s.now - start).Milliseconds(), fmt.Sprintf(format, args...))
+			}
+			c.run(s)
+			fmt.Fprintf(&out, "moves %d, slice-seconds without service %.3f, longest %v\n", s.moves, s.unserved, s.longest)
+			if c.longest > 0 && s.longest >= c.longest {
+				t.Errorf("a slice was not served for %v, limit %v", s.longest, c.longest)
+			}
+			if len(s.outage) > 0 {
+				t.Errorf("%d slices are not served at the end", len(s.outage))
+			}
+			s.checkReplicas()
+			for _, fault := range s.faults {
+				t.Error(fault)
+			}
+			goldie.New(t).Assert(t, c.name, []byte(out.String()))
+		})
+	}
+}
+
+// checkReplicas compares the states of all live VMs with the log.
+func (s *sim) checkReplicas() {
+	for _, v := range s.vms {
+		if !v.alive(s.now) || v.cutLeader || v.state.Version() != s.state.Version() {
+			continue
+		}
+		got, _ := v.state.Snapshot()
+		want, _ := s.state.Snapshot()
+		if string(got) != string(want) {
+			s.fault("state of %s differs", v.Name)
+		}
 	}
-	return strings.TrimPrefix(fmt.Sprintf("%+v", pendingKeyOf(c)), " ")
 }
 
 // Guards against a first placement that leaves slices without owner or places
--- a/internal/control/sim_fakes_test.go
+++ b/internal/control/sim_fakes_test.go
@@ -27,7 +27,9 @@
 	slice contract.SliceID
 	fence contract.Fence
 	epoch contract.Epoch
-	done  func()
+	// deadline ends the dispatcher's wait for the request.
+	deadline time.Duration
+	done     func()
 }
 
 // simVM is a fake VM: lease, state and dispatchers.
@@ -115,10 +117,14 @@
 	if t := s.target(id); reachable {
 		state = t.State
 	}
-	return TargetReport{
+	out := TargetReport{
 		Target: id, Incarnation: g.incarnation, Epoch: g.epoch, Reachable: reachable,
 		GrantExpired: over || g.expired, State: state, Stopped: slices.Clone(g.stopped),
 	}
+	if t := s.target(id); t.hot != 0 {
+		out.HotHashes, out.HotShares, out.Load = []uint64{t.hot}, []float64{0.3}, 1
+	}
+	return out
 }
 
 // answer is the leader's side of a heartbeat.
@@ -203,6 +209,7 @@
 
 // work sends a request of a random owned slice.
 func (v *simVM) work(s *sim, t *simTarget, g *simGrant, c Contract) {
+	g.inFlight = slices.DeleteFunc(g.inFlight, func(w *simWork) bool { return s.now >= w.deadline })
 	if len(c.Slices) == 0 || g.expired || !g.everRead || c.Target.Lost {
 		return
 	}
@@ -211,10 +218,12 @@
 		return
 	}
 	hash := entry.Slice.Lo
-	if width := entry.Slice.Hi - entry.Slice.Lo; width > 0 {
+	if t.hot != 0 && entry.Slice.Contains(t.hot) {
+		hash = t.hot
+	} else if width := entry.Slice.Hi - entry.Slice.Lo; width > 0 {
 		hash += s.rng.Uint64N(width)
 	}
-	w := &simWork{hash: hash, slice: entry.Slice.ID, fence: entry.Assignment.Fence, epoch: g.epoch}
+	w := &simWork{hash: hash, slice: entry.Slice.ID, fence: entry.Assignment.Fence, epoch: g.epoch, deadline: s.now + simDeadline}
 	g.inFlight = append(g.inFlight, w)
 	w.done = func() {
 		s.toVM(v, t, func() {
@@ -253,7 +262,9 @@
 // on with it when it thaws; its monotonic clock runs on meanwhile.
 type simTarget struct {
 	Target
-	born     time.Duration
+	born time.Duration
+	// hot is a hash that takes a third of the requests, 0 for none.
+	hot      uint64
 	dead     bool
 	frozen   bool
 	socket   []func()
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -11,11 +11,13 @@
 
 // Times of the simulated network and control group.
 const (
-	simStep    = 5 * time.Millisecond
-	simDelay   = 8 * time.Millisecond
-	simHop     = 2 * time.Millisecond
-	simCommit  = 20 * time.Millisecond
-	simExecute = 10 * time.Millisecond
+	simStep   = 5 * time.Millisecond
+	simDelay  = 8 * time.Millisecond
+	simHop    = 2 * time.Millisecond
+	simCommit = 20 * time.Millisecond
+	// simDeadline is the deadline of each request.
+	simDeadline = time.Second
+	simExecute  = 10 * time.Millisecond
 )
 
 // sim runs State and Planner with fakes of VM dispatchers and targets in
@@ -26,7 +28,6 @@
 	state    *State
 	snapshot []byte
 	log      []IndexedCommand
-	base     uint64
 	index    uint64
 	uncommit []simProposal
 	planner  *Planner
@@ -40,7 +41,9 @@
 	trace    func(format string, args ...any)
 	onApply  func(c Command, result any)
 	faults   []string
-	unserved map[string]float64
+	unserved float64
+	outage   map[contract.SliceID]time.Duration
+	longest  time.Duration
 	moves    int
 	owners   map[contract.SliceID]string
 	fences   map[uint64]contract.Fence
@@ -61,7 +64,7 @@
 func newSim(seed uint64) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, seed)), state: NewState(),
-		unserved: map[string]float64{}, owners: map[contract.SliceID]string{},
+		outage: map[contract.SliceID]time.Duration{}, owners: map[contract.SliceID]string{},
 		fences: map[uint64]contract.Fence{}, epochs: map[string]contract.Epoch{},
 		trace: func(string, ...any) {}, onApply: func(Command, any) {},
 	}
@@ -259,9 +262,13 @@
 
 func (s *sim) countUnserved() {
 	for _, entry := range s.state.Table().Assignments() {
-		if !s.served(entry) {
-			s.unserved[entry.Slice.Service] += simStep.Seconds()
+		if s.served(entry) {
+			delete(s.outage, entry.Slice.ID)
+			continue
 		}
+		s.unserved += simStep.Seconds()
+		s.outage[entry.Slice.ID] += simStep
+		s.longest = max(s.longest, s.outage[entry.Slice.ID])
 	}
 }
 
