Form record holder sets from settled VMs and replace targets without a dispatcher

Cause 1: each VM that registered at the start made a holder set of its own size, the first one of a single VM, and records needed a majority of every set for the retention.

Cause 2: targets whose region had lost its last VM kept their slices, because no dispatcher could report the expired grant. The leader now counts VM lease plus grant validity itself.

Test: TestSessionAnyVMKilled failed for three of five VMs before and passes now. A service's connections default to 110.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -42,6 +42,8 @@
 		return s.removeTarget(*c.RemoveTarget)
 	case c.SetDispatch != nil:
 		return s.setDispatch(c.SetDispatch.Dispatch)
+	case c.SetHolders != nil:
+		return s.setHolders()
 	case c.ForgetHolders != nil:
 		return s.forgetHolders(*c.ForgetHolders)
 	}
--- a/internal/control/apply_config.go
+++ b/internal/control/apply_config.go
@@ -32,7 +32,6 @@
 	s.layout = newLayout(parsed)
 	s.remember(historyEntry{Number: s.number, Base: c.Base, Hash: hash})
 	s.updateGroups()
-	s.updateHolders()
 	s.touch()
 	return &ChangeResult{Accepted: true, Number: s.number}, nil
 }
@@ -70,43 +69,3 @@
 		s.dropUnwanted(key)
 	}
 }
-
-// updateHolders starts a new set of record holders if the current one changed.
-func (s *State) updateHolders() bool {
-	var members []holder
-	for _, name := range sortedNames(s.vms) {
-		if !s.layout.retiredVMs[name] {
-			members = append(members, holder{Name: name, DataCentre: s.vms[name].DataCentre})
-		}
-	}
-	if n := len(s.holders); n > 0 && equalHolders(s.holders[n-1].Members, members) {
-		return false
-	}
-	s.holders = append(s.holders, holderSet{Number: s.version, Members: members})
-	return true
-}
-
-func equalHolders(a, b []holder) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// forgetHolders drops the sets before the given one; the current one stays.
-func (s *State) forgetHolders(c ForgetHolders) bool {
-	kept := 0
-	for kept < len(s.holders)-1 && s.holders[kept].Number < c.Before {
-		kept++
-	}
-	if kept == 0 {
-		return false
-	}
-	s.holders = append([]holderSet(nil), s.holders[kept:]...)
-	return true
-}
--- a/internal/control/apply_members.go
+++ b/internal/control/apply_members.go
@@ -14,7 +14,6 @@
 		return false
 	}
 	s.vms[v.Name] = v
-	s.updateHolders()
 	return true
 }
 
@@ -29,7 +28,6 @@
 		}
 	}
 	delete(s.vms, c.Name)
-	s.updateHolders()
 	return true
 }
 
--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -43,7 +43,7 @@
 		c.RegisterTarget != nil, c.MarkTarget != nil, c.RemoveTarget != nil,
 		c.SetDispatch != nil, c.Assign != nil, c.Drain != nil,
 		c.Unassign != nil, c.Hold != nil, c.Split != nil, c.Merge != nil,
-		c.ForgetHolders != nil, c.AddResidency != nil,
+		c.ForgetHolders != nil, c.SetHolders != nil, c.AddResidency != nil,
 	}
 	n := 0
 	for _, isSet := range set {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -135,6 +135,7 @@
 	Split          *Split         `msgpack:"p,omitempty"`
 	Merge          *Merge         `msgpack:"e,omitempty"`
 	ForgetHolders  *ForgetHolders `msgpack:"f,omitempty"`
+	SetHolders     *SetHolders    `msgpack:"o,omitempty"`
 	// AddResidency creates the slices of a service for a residency.
 	AddResidency *AddResidency `msgpack:"y,omitempty"`
 }
@@ -194,6 +195,9 @@
 	Right contract.SliceID `msgpack:"r"`
 }
 
+// SetHolders makes the registered VMs the current set of record holders.
+type SetHolders struct{}
+
 // ForgetHolders drops holder sets older than the given one.
 type ForgetHolders struct {
 	Before uint64 `msgpack:"b"`
--- a/internal/control/pending.go
+++ b/internal/control/pending.go
@@ -56,7 +56,7 @@
 		return pendingKey{subject: subjectTarget, name: c.RemoveTarget.ID}
 	case c.SetDispatch != nil:
 		return pendingKey{subject: subjectDispatch, name: c.SetDispatch.Dispatch.Target}
-	case c.ForgetHolders != nil:
+	case c.ForgetHolders != nil, c.SetHolders != nil:
 		return pendingKey{subject: subjectHolders}
 	}
 	return pendingSliceKey(c)
--- a/internal/control/plan_cleanup.go
+++ b/internal/control/plan_cleanup.go
@@ -25,6 +25,7 @@
 	r.p.nextCleanup = r.now + cleanupInterval
 	r.removeTargets()
 	r.removeVMs()
+	r.updateHolders()
 	r.forgetHolders()
 	r.addResidencies()
 	r.forgetObservations()
--- a/internal/control/plan_loss.go
+++ b/internal/control/plan_loss.go
@@ -69,11 +69,15 @@
 func (r *round) handleReports() {
 	lost, total := r.countLosses()
 	for _, id := range r.model.targets {
+		t := r.s.targets[id]
+		if r.withoutDispatcher(t) {
+			r.replaceOrphan(t)
+			continue
+		}
 		observed, ok := r.report(id)
 		if !ok {
 			continue
 		}
-		t := r.s.targets[id]
 		if observed.report.Reachable {
 			r.handleReturn(t, observed)
 			continue
@@ -87,6 +91,34 @@
 	}
 }
 
+// withoutDispatcher reports whether no VM can dispatch for the target: its
+// dispatcher's lease has run out and no other VM of the region has a lease.
+func (r *round) withoutDispatcher(t Target) bool {
+	d := r.s.dispatches[t.ID].Dispatch
+	if d.VM == "" || r.now < r.leaseEnd(d.VM, d.VMIncarnation) {
+		return false
+	}
+	return len(r.dispatchersOf(r.s.layout.regionOf[t.DataCentre])) == 0
+}
+
+// replaceOrphan takes the slices from a target that no VM can dispatch for,
+// once the last grant that its dispatcher can have renewed has expired.
+func (r *round) replaceOrphan(t Target) {
+	d := r.s.dispatches[t.ID].Dispatch
+	settled, ok := r.settledAt(t.ID)
+	if !ok {
+		return
+	}
+	quiet := max(settled, r.leaseEnd(d.VM, d.VMIncarnation))
+	if r.now < quiet+contract.GrantExpiryWait {
+		return
+	}
+	if !t.Lost {
+		r.propose(mark(t, t.State, true))
+	}
+	r.replaceTarget(t)
+}
+
 // countLosses counts the lost targets and all targets of each service.
 func (r *round) countLosses() (lost, total map[string]int) {
 	lost, total = map[string]int{}, map[string]int{}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -38,12 +38,15 @@
 
 	idleSince    map[string]time.Duration
 	holdersSince map[uint64]time.Duration
-	placeSince   map[string]time.Duration
-	blockedSince map[groupPlace]time.Duration
-	avoided      map[avoidance]time.Duration
-	nextImprove  time.Duration
-	nextBalance  time.Duration
-	nextCleanup  time.Duration
+	// holderMembers have been the same since holdersStable.
+	holderMembers []holder
+	holdersStable time.Duration
+	placeSince    map[string]time.Duration
+	blockedSince  map[groupPlace]time.Duration
+	avoided       map[avoidance]time.Duration
+	nextImprove   time.Duration
+	nextBalance   time.Duration
+	nextCleanup   time.Duration
 
 	model *model
 }
--- a/internal/session/cluster_test.go
+++ b/internal/session/cluster_test.go
@@ -345,6 +345,9 @@
 	}
 	c.client.CloseIdleConnections()
 	c.net.close()
+	// Time stands still once the session returns, so retries in the background
+	// end before.
+	time.Sleep(time.Minute)
 }
 
 // pretty returns v as indented JSON for failures.
--- a/internal/text/fields.go
+++ b/internal/text/fields.go
@@ -12,6 +12,7 @@
 	defaultSlices         = 64
 	defaultQueuePerSlot   = 8
 	defaultColdSlots      = 1
+	defaultConnections    = 110
 	defaultWeight         = 1.0
 	defaultMovesPerSecond = 50
 	defaultShare          = 1
@@ -110,11 +111,12 @@
 	s := Service{
 		Slices:            defaultSlices,
 		ColdSlots:         defaultColdSlots,
+		Connections:       defaultConnections,
 		MaxMovesPerSecond: defaultMovesPerSecond,
 		Weights:           Weights{Churn: defaultWeight, Balance: defaultWeight},
 	}
 	var coldSlots ast.Node
-	d.mapping(n, "a service", []string{"name", "ownership", "endpoints", "slots", "connections"}, fields{
+	d.mapping(n, "a service", []string{"name", "ownership", "endpoints", "slots"}, fields{
 		"name": func(v ast.Node) {
 			s.Name = d.name(v, "service name", namePattern)
 			d.places.claim(d, v, "service", s.Name)
--- a/internal/text/text.go
+++ b/internal/text/text.go
@@ -78,7 +78,7 @@
 	Endpoints int `yaml:"endpoints"`
 	// Slots is the number of requests that a target runs at once.
 	Slots int `yaml:"slots"`
-	// Connections bounds the connections to a target over all VMs.
+	// Connections bounds the connections to a target over all VMs. Default 110.
 	Connections int `yaml:"connections"`
 	// QueueLimit bounds the requests that wait for a target. Default 8*Slots.
 	QueueLimit int `yaml:"queue_limit"`
--- a/internal/vm/leader.go
+++ b/internal/vm/leader.go
@@ -19,6 +19,9 @@
 	if !l.leading(now) {
 		return control.Renewal{SentAt: hb.SentAt, Leader: l.leaderVM()}
 	}
+	if !l.planner.CurrentIncarnation(l.state, hb.VM) {
+		return control.Renewal{SentAt: hb.SentAt, Leader: l.v.cfg.Name}
+	}
 	l.planner.Heartbeat(now, hb)
 	l.replicaOf[hb.VM.Name] = hb.ReplicaID
 	l.reported.Store(hb.VM.Name, hb.ConfigNumber)
