Strengthen the random runs and add rule tests of the replicated log

Faults in the random runs lasted too long, so few elections took place and rules such as the refusal of votes during a lease were never exercised. Direct tests cover the voting and commit rules.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -14,6 +14,8 @@
 	DefaultLeaderLease       = 150 * time.Millisecond
 	// DefaultMaxAppendBytes bounds the entry data of one append.
 	DefaultMaxAppendBytes = 64 << 10
+	// DefaultTrailingEntries is the number of entries kept after a compaction.
+	DefaultTrailingEntries = 256
 )
 
 const (
@@ -22,16 +24,13 @@
 	maxInflightAppends = 16
 	// maxUncommittedEntries bounds what a leader without a quorum accepts.
 	maxUncommittedEntries = 4096
-	// compactTrailingEntries stay in memory after a compaction, so that a
-	// slightly late follower needs no snapshot.
-	compactTrailingEntries = 256
 	// snapshotResend is the time after which an unacknowledged snapshot is
 	// sent again.
 	snapshotResend = time.Second
 )
 
-// Config holds the settings of a replica. Zero durations and a zero
-// MaxAppendBytes stand for the defaults.
+// Config holds the settings of a replica. Zero values other than ID and Seed
+// stand for the defaults.
 type Config struct {
 	// ID is "VM name/identity"; it is never reused after a lost disk.
 	ID string
@@ -48,6 +47,9 @@
 	// MaxAppendBytes bounds the entry data of one append; a single larger
 	// entry is sent alone.
 	MaxAppendBytes int
+	// TrailingEntries is the number of entries that stay in memory after a
+	// compaction, so that a slightly late follower needs no snapshot.
+	TrailingEntries int
 }
 
 func (c Config) withDefaults() Config {
@@ -56,6 +58,7 @@
 	setDefault(&c.ElectionMax, DefaultElectionMax)
 	setDefault(&c.LeaderLease, DefaultLeaderLease)
 	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
+	setDefault(&c.TrailingEntries, DefaultTrailingEntries)
 	return c
 }
 
@@ -70,8 +73,8 @@
 	switch {
 	case c.ID == "":
 		return errkind.New(errkind.BadRequest, "replica ID is empty")
-	case c.HeartbeatInterval <= 0 || c.MaxAppendBytes <= 0:
-		return errkind.New(errkind.BadRequest, "heartbeat interval and append size must be positive")
+	case c.HeartbeatInterval <= 0 || c.MaxAppendBytes <= 0 || c.TrailingEntries < 0:
+		return errkind.New(errkind.BadRequest, "heartbeat interval, append size and trailing entries must be positive")
 	case c.HeartbeatInterval >= c.LeaderLease:
 		return errkind.New(errkind.BadRequest, "heartbeat interval %v must be below the leader lease %v", c.HeartbeatInterval, c.LeaderLease)
 	case c.LeaderLease >= c.ElectionMin:
--- /dev/null
+++ b/internal/consensus/disk_test.go
@@ -0,0 +1,93 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+)
+
+// saveHardState, saveSnapshot and saveEntries are the disk's synced writes.
+func (r *simReplica) saveHardState(hs *HardState) {
+	if hs != nil {
+		r.hs = *hs
+	}
+}
+
+func (r *simReplica) saveSnapshot(snap *Snapshot) {
+	if snap == nil {
+		return
+	}
+	keep := false
+	var rest []Entry
+	for _, e := range r.entries {
+		keep = keep || (e.Index == snap.Index && e.Term == snap.Term)
+		if e.Index > snap.Index && keep {
+			rest = append(rest, e)
+		}
+	}
+	r.snap, r.entries = snap, rest
+}
+
+func (r *simReplica) saveEntries(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	kept := slices.IndexFunc(r.entries, func(e Entry) bool { return e.Index >= entries[0].Index })
+	if kept >= 0 {
+		r.entries = r.entries[:kept:kept]
+	}
+	r.entries = append(r.entries, entries...)
+}
+
+// crashIn stops a replica in the middle of the outstanding Ready: the parts
+// after the given stage, and the end of the entries, are not on the disk.
+func (s *sim) crashIn(r *simReplica, stage int) {
+	if r.node != nil && r.ready == nil && r.node.HasReady() {
+		ready := r.node.Ready()
+		r.ready = &ready
+	}
+	if r.node != nil && r.ready != nil && stage > 0 {
+		r.saveHardState(r.ready.HardState)
+		if stage > 1 {
+			r.saveSnapshot(r.ready.Snapshot)
+			r.saveEntries(r.ready.Entries[:len(r.ready.Entries)*min(stage-1, 3)/3])
+		}
+	}
+	s.crash(r)
+}
+
+// handle does what a Ready asks for, at once or, with a slow disk, later.
+func (s *sim) handle(r *simReplica) {
+	if r.ready == nil && r.node.HasReady() {
+		ready := r.node.Ready()
+		r.ready, r.finishAt = &ready, s.now
+		if s.lossy {
+			r.finishAt += time.Duration(s.rng.IntN(8)) * time.Millisecond
+		}
+	}
+	if r.ready == nil || s.now < r.finishAt {
+		return
+	}
+	ready := *r.ready
+	r.ready = nil
+	r.saveHardState(ready.HardState)
+	r.saveSnapshot(ready.Snapshot)
+	r.saveEntries(ready.Entries)
+	for _, m := range ready.Messages {
+		s.post(m)
+	}
+	if snap := ready.Snapshot; snap != nil && snap.Index > r.applied {
+		r.applied, r.state = snap.Index, binary.LittleEndian.Uint64(snap.Data)
+		if int(snap.Index) >= len(s.states) || s.states[snap.Index] != r.state {
+			s.failf("%s installed a snapshot at %d with another state", r.id, snap.Index)
+		}
+		s.note("%s installs a snapshot at %d", r.id, snap.Index)
+	}
+	for _, e := range ready.Committed {
+		s.apply(r, e)
+	}
+	if s.compact > 0 && r.applied >= s.compact && (r.snap == nil || r.applied-r.snap.Index >= s.compact) {
+		r.node.Compact(r.applied, binary.LittleEndian.AppendUint64(nil, r.state))
+	}
+	r.node.Advance(s.local(r), ready)
+}
--- /dev/null
+++ b/internal/consensus/rules_test.go
@@ -0,0 +1,218 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+var abc = Membership{Voters: []string{"a/0", "b/0", "c/0"}}
+
+// newNode starts a/0 among three voters; its clock has run for one second.
+func newNode(t *testing.T, m Membership, hs HardState, entries ...Entry) *Node {
+	t.Helper()
+	n, err := New(Config{ID: "a/0"}, m, hs, nil, entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.observe(0)
+	n.observe(time.Second)
+	return n
+}
+
+// drain does all Readys and returns the messages.
+func drain(n *Node) []Message {
+	var sent []Message
+	for n.HasReady() {
+		r := n.Ready()
+		sent = append(sent, r.Messages...)
+		n.Advance(n.now, r)
+	}
+	return sent
+}
+
+// lead makes a/0 leader of a new term; entries stay unacknowledged.
+func lead(t *testing.T, m Membership, hs HardState, entries ...Entry) *Node {
+	n := newNode(t, m, hs, entries...)
+	n.Tick(n.now)
+	for _, kind := range []MessageType{MsgPreVoteReply, MsgVoteReply} {
+		n.Step(n.now, Message{Type: kind, From: "b/0", To: "a/0", Term: hs.Term + 1})
+	}
+	if n.Role() != Leader {
+		t.Fatal("not elected")
+	}
+	return n
+}
+
+func command(index, term uint64) Entry {
+	return Entry{Index: index, Term: term, Data: []byte("x")}
+}
+
+// Guards against votes that could elect a second leader: while a lease may be
+// valid, after a restart, for a shorter log, twice in a term, or in the name
+// of another identity.
+func TestVotes(t *testing.T) {
+	hs := HardState{Term: 4, Vote: "c/0"}
+	vote := func(term, index, logTerm uint64) Message {
+		return Message{Type: MsgVote, From: "b/0", To: "a/0", Term: term, Index: index, LogTerm: logTerm}
+	}
+	heard := func(n *Node) {
+		n.Step(n.now, Message{Type: MsgAppend, From: "c/0", To: "a/0", Term: 4, Index: 2, LogTerm: 4})
+	}
+	cases := []struct {
+		name   string
+		before func(*Node)
+		m      Message
+		want   string
+	}{
+		{"longer log", nil, vote(5, 3, 4), "grant 5"},
+		{"shorter log", nil, vote(5, 1, 4), "reject 5"},
+		{"older term in the log", nil, vote(5, 9, 3), "reject 5"},
+		{"voted for another", nil, vote(4, 9, 9), "reject 4"},
+		{"earlier term", nil, vote(3, 9, 9), "reject 4"},
+		{"other identity", nil, Message{Type: MsgVote, From: "b/0", To: "a/9", Term: 5, Index: 9, LogTerm: 9}, "silent"},
+		{"leader heard", heard, vote(5, 9, 9), "silent"},
+		{"leader heard, term raised since", func(n *Node) {
+			heard(n)
+			n.Step(n.now, Message{Type: MsgPreVoteReply, From: "b/0", To: "a/0", Term: 5, Reject: true})
+		}, vote(5, 9, 9), "silent"},
+		{"leader heard long ago", func(n *Node) { heard(n); n.observe(n.now + DefaultElectionMin) }, vote(5, 9, 9), "grant 5"},
+		{"just restarted", func(n *Node) { n.heard = 0; n.now = 0; n.started = false; n.observe(time.Second) }, vote(5, 9, 9), "silent"},
+	}
+	for _, c := range cases {
+		n := newNode(t, abc, hs, command(1, 1), command(2, 4))
+		if c.before != nil {
+			c.before(n)
+		}
+		drain(n)
+		n.Step(n.now, c.m)
+		got := "silent"
+		for _, m := range drain(n) {
+			got = fmt.Sprintf("%s %d", map[bool]string{true: "reject", false: "grant"}[m.Reject], m.Term)
+		}
+		if got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against committing an entry of an earlier term, or one that the
+// leader itself has not synced, by counting replicas: both can be lost.
+func TestCommitRule(t *testing.T) {
+	n := lead(t, abc, HardState{Term: 2}, command(1, 1), command(2, 2))
+	ack := func(index uint64) {
+		n.Step(n.now, Message{Type: MsgAppendReply, From: "b/0", To: "a/0", Term: 3, Index: index, Stamp: n.now})
+	}
+	unsynced := n.Ready()
+	ack(2)
+	if _, _, err := n.ProposeMembership(n.now, Membership{Voters: abc.Voters[:2]}); n.CommitIndex() != 0 || !errors.As(err, new(*MembershipError)) {
+		t.Fatalf("commit %d by an earlier term, change: %v", n.CommitIndex(), err)
+	}
+	ack(3)
+	if n.CommitIndex() != 0 || n.LeaseValid(n.now) {
+		t.Fatalf("commit %d before the leader synced", n.CommitIndex())
+	}
+	n.Advance(n.now, unsynced)
+	if n.CommitIndex() != 3 || !n.LeaseValid(n.now) {
+		t.Fatalf("commit %d after the leader synced", n.CommitIndex())
+	}
+	if n.Compact(3, nil); n.snapshot != nil {
+		t.Fatal("a snapshot covers entries that were not delivered")
+	}
+}
+
+// Guards against entries taken as synced although they replaced the ones that
+// were being saved, and against a membership that outlives its entry.
+func TestOverwriteWhileSaving(t *testing.T) {
+	n := newNode(t, abc, HardState{Term: 1}, command(1, 1))
+	data, _ := encodeMembership(Membership{Voters: abc.Voters[:2]})
+	change := Entry{Index: 2, Term: 1, Type: EntryMembership, Data: data}
+	n.Step(n.now, Message{Type: MsgAppend, From: "b/0", To: "a/0", Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{change}})
+	saving := n.Ready()
+	n.Step(n.now, Message{Type: MsgAppend, From: "c/0", To: "a/0", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{command(2, 2)}})
+	n.Advance(n.now, saving)
+	if r := n.Ready(); len(r.Entries) != 1 || r.Entries[0].Term != 2 || len(n.Membership().Voters) != 3 {
+		t.Fatalf("entries to save %v, membership %v", r.Entries, n.Membership())
+	}
+}
+
+// Guards against replicas without a vote that campaign, count, or depose the
+// leader, and against a term below the log's after a crash.
+func TestNoVoteNoSay(t *testing.T) {
+	learning := Membership{Voters: []string{"b/0"}, Learners: []string{"a/0"}}
+	n := newNode(t, learning, HardState{Term: 1}, command(1, 3))
+	if n.Tick(n.now); n.Role() != Follower || n.Term() != 3 {
+		t.Fatalf("learner is %v in term %d", n.Role(), n.Term())
+	}
+	two := Membership{Voters: []string{"a/0", "b/0"}, Learners: []string{"c/0"}}
+	n = newNode(t, two, HardState{})
+	n.Tick(n.now)
+	if n.Step(n.now, Message{Type: MsgPreVoteReply, From: "c/0", To: "a/0", Term: 1}); n.Role() != PreCandidate {
+		t.Fatalf("a learner's vote made a/0 %v", n.Role())
+	}
+	n = lead(t, two, HardState{})
+	n.Step(n.now, Message{Type: MsgAppendReply, From: "removed/0", To: "a/0", Term: 9, Reject: true})
+	if n.Role() != Leader {
+		t.Fatal("a removed replica deposed the leader")
+	}
+}
+
+// Guards against unbounded traffic to a silent follower and unbounded appends.
+func TestBoundedAppends(t *testing.T) {
+	n := lead(t, abc, HardState{})
+	n.Step(n.now, Message{Type: MsgAppendReply, From: "b/0", To: "a/0", Term: 1, Index: 1, Stamp: n.now})
+	for range maxUncommittedEntries {
+		_, _, _ = n.Propose(n.now, make([]byte, 1000))
+	}
+	if _, _, err := n.Propose(n.now, []byte("x")); err == nil {
+		t.Fatal("proposals without a quorum are unbounded")
+	}
+	sent := map[string]int{}
+	for range 10 {
+		n.Tick(n.now + DefaultHeartbeatInterval)
+		for _, m := range drain(n) {
+			bytes := 0
+			for _, e := range m.Entries {
+				bytes += len(e.Data)
+			}
+			if sent[m.To] += bytes; bytes > DefaultMaxAppendBytes {
+				t.Fatalf("an append of %d bytes", bytes)
+			}
+		}
+	}
+	limit := maxInflightAppends * DefaultMaxAppendBytes
+	if b, c := sent["b/0"], sent["c/0"]; b > limit || b < limit/2 || c > DefaultMaxAppendBytes {
+		t.Fatalf("%d bytes to a silent follower, %d to one never heard", b, c)
+	}
+}
+
+// BenchmarkPropose measures a proposal until its commit among three replicas,
+// without disk or network.
+func BenchmarkPropose(b *testing.B) {
+	s := newSim(1, abc.Voters...)
+	leader := s.holder().node
+	nodes := map[string]*Node{}
+	for _, r := range s.replicas {
+		nodes[r.id] = r.node
+	}
+	data := make([]byte, 128)
+	for i := 0; b.Loop(); i++ {
+		if _, _, err := leader.Propose(s.now, data); err != nil {
+			b.Fatal(err)
+		}
+		for queue := drain(leader); len(queue) > 0; queue = queue[1:] {
+			to := nodes[queue[0].To]
+			to.Step(s.now, queue[0])
+			queue = append(queue, drain(to)...)
+		}
+		if i%1000 == 0 {
+			for _, n := range nodes {
+				n.Compact(n.CommitIndex(), nil)
+			}
+		}
+	}
+	if leader.CommitIndex() != leader.log.last() {
+		b.Fatalf("commit %d of %d", leader.CommitIndex(), leader.log.last())
+	}
+}
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -16,10 +16,11 @@
 		Membership: n.history.at(index).clone(),
 		Data:       slices.Clone(state),
 	})
-	if index <= n.log.base+compactTrailingEntries {
+	trailing := uint64(n.cfg.TrailingEntries)
+	if index <= n.log.base+trailing {
 		return
 	}
-	n.log.compact(index - compactTrailingEntries)
+	n.log.compact(index - trailing)
 	n.history.compact(n.log.base)
 }
 
