Test request records by sessions and random interleavings

A second run of an ID must be impossible under any loss that the design lists, and a mistake there shows only in rare interleavings.

Golden sessions cover the table of points of loss. An attempt that is seen and not proven dead now makes the outcome unknown even when it has no majority yet, since a late start may give it one.

Sessions: memory of aborted attempts, abort before a new attempt, the floor set by removed records, the check of the retention. Store tests: kept and copied promises, several copied attempts, removal before the end of the retention.

--- a/internal/record/call.go
+++ b/internal/record/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 )
 
@@ -32,8 +31,3 @@
 		return false
 	}
 }
-
-// jitter returns a random duration between d/2 and 3d/2.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
--- a/internal/record/cluster_test.go
+++ b/internal/record/cluster_test.go
@@ -39,6 +39,12 @@
 	return c, names
 }
 
+func (c *cluster) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
 func (c *cluster) restart(name string) *Store {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,8 +75,11 @@
 // Call implements Transport.
 func (t testTransport) Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
 	var f fault
-	if t.c.inject != nil {
-		f = t.c.inject(t.name, vm, method, payload)
+	t.c.mu.Lock()
+	inject := t.c.inject
+	t.c.mu.Unlock()
+	if inject != nil {
+		f = inject(t.name, vm, method, payload)
 	}
 	if f.duplicate {
 		go func() {
--- a/internal/record/coordinator.go
+++ b/internal/record/coordinator.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
 
@@ -33,6 +36,9 @@
 	number      atomic.Uint64
 	background  chan struct{}
 	fenced      atomic.Pointer[func(vm string, incarnation uint64) bool]
+
+	mu   sync.Mutex
+	rand *rand.Rand
 }
 
 // NewCoordinator returns the coordinator of one incarnation of a VM. The same
@@ -43,9 +49,17 @@
 		incarnation: incarnation,
 		transport:   t,
 		background:  make(chan struct{}, backgroundLimit),
+		rand:        rand.New(rand.NewPCG(xxhash.Sum64String(vm), incarnation)),
 	}
 }
 
+// jitter returns a random duration between d/2 and 3d/2.
+func (c *Coordinator) jitter(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return d/2 + time.Duration(c.rand.Int64N(int64(d)))
+}
+
 // SetFenced gives the coordinator a source that tells whether an incarnation
 // of a VM has lost its lease for good. Attempts of such a VM may be taken over.
 // Without it only earlier incarnations of the own VM are regarded as fenced.
@@ -148,29 +162,37 @@
 		if len(others) == 0 && first && !v.sawOwn(s.own) {
 			return nil, false, s.failure("too few record holders are ready")
 		}
-		blocked := false
-		for _, other := range others {
-			if !s.clear(ctx, v, other) {
-				blocked = true
-			}
-		}
-		s.contended = blocked
+		again := s.settle(ctx, v, others)
 		if !s.pause(ctx) {
 			return nil, false, nil
 		}
-		if !blocked {
+		if again {
 			return nil, true, nil
 		}
 		v = s.ask(ctx, Attempt{}, true)
 	}
 }
 
-// clear reports whether the other attempt cannot be Running.
-func (s *session) clear(ctx context.Context, v *view, other heldBy) bool {
-	if s.coordinator.isFenced(other.attempt) && s.takeover(ctx, other) {
-		return true
+// settle takes over attempts of fenced VMs, and reports whether none of the
+// others can be Running now. One that is not dead may still become Running by a
+// late start, so it keeps the session contended until every holder was seen
+// without an attempt.
+func (s *session) settle(ctx context.Context, v *view, others []heldBy) bool {
+	again := true
+	alive := 0
+	for _, other := range others {
+		if s.coordinator.isFenced(other.attempt) && s.takeover(ctx, other) {
+			continue
+		}
+		alive++
+		again = again && !v.mayBeRunning(other)
 	}
-	return !v.mayBeRunning(other)
+	if alive > 0 {
+		s.contended = true
+	} else if v.allAbsent(s.holders) {
+		s.contended = false
+	}
+	return again
 }
 
 // failure is RecordUnavailable unless an attempt was seen that may be Running.
@@ -182,7 +204,7 @@
 }
 
 func (s *session) pause(ctx context.Context) bool {
-	d := jitter(s.backoff)
+	d := s.coordinator.jitter(s.backoff)
 	s.backoff = min(2*s.backoff, maxBackoff)
 	return sleep(ctx, d)
 }
@@ -211,66 +233,3 @@
 		Holders:   sets,
 	}
 }
-
-// tell delivers a request to the holders with bounded retries. It returns once
-// enough(acknowledged) holds, all holders acknowledged, or the wait is over;
-// the deliveries continue in the background. A nil enough waits for all.
-func (s *session) tell(wait time.Duration, holders []string, method string, request any, enough func(acked []string) bool) {
-	timeout := time.After(wait)
-	acks := make(chan string, len(holders))
-	var pending sync.WaitGroup
-	for _, vm := range holders {
-		pending.Go(func() {
-			if s.coordinator.deliver(vm, method, request) {
-				acks <- vm
-			}
-		})
-	}
-	go func() { pending.Wait(); close(acks) }()
-	var acked []string
-	for {
-		select {
-		case vm, open := <-acks:
-			if !open {
-				return
-			}
-			acked = append(acked, vm)
-			if enough != nil && enough(acked) {
-				return
-			}
-		case <-timeout:
-			return
-		}
-	}
-}
-
-// Retries of deliveries in the background.
-const (
-	deliverTries   = 6
-	deliverTimeout = time.Second
-	deliverBackoff = 50 * time.Millisecond
-)
-
-// deliver sends a request that must arrive, with bounded retries. When too
-// many deliveries are pending, only the first try is made.
-func (c *Coordinator) deliver(vm, method string, request any) bool {
-	tries := 1
-	select {
-	case c.background <- struct{}{}:
-		defer func() { <-c.background }()
-		tries = deliverTries
-	default:
-	}
-	backoff := deliverBackoff
-	for try := range tries {
-		if try > 0 {
-			sleep(context.Background(), jitter(backoff))
-			backoff *= 2
-		}
-		var reply AbortReply
-		if call(context.Background(), c.transport, deliverTimeout, vm, method, request, &reply) == nil {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/record/deliver.go
@@ -0,0 +1,70 @@
+package record
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// tell delivers a request to the holders with bounded retries. It returns once
+// enough(acknowledged) holds, all holders acknowledged, or the wait is over;
+// the deliveries continue in the background. A nil enough waits for all.
+func (s *session) tell(wait time.Duration, holders []string, method string, request any, enough func(acked []string) bool) {
+	timeout := time.After(wait)
+	acks := make(chan string, len(holders))
+	var pending sync.WaitGroup
+	for _, vm := range holders {
+		pending.Go(func() {
+			if s.coordinator.deliver(vm, method, request) {
+				acks <- vm
+			}
+		})
+	}
+	go func() { pending.Wait(); close(acks) }()
+	var acked []string
+	for {
+		select {
+		case vm, open := <-acks:
+			if !open {
+				return
+			}
+			acked = append(acked, vm)
+			if enough != nil && enough(acked) {
+				return
+			}
+		case <-timeout:
+			return
+		}
+	}
+}
+
+// Retries of deliveries in the background.
+const (
+	deliverTries   = 6
+	deliverTimeout = time.Second
+	deliverBackoff = 50 * time.Millisecond
+)
+
+// deliver sends a request that must arrive, with bounded retries. When too
+// many deliveries are pending, only the first try is made.
+func (c *Coordinator) deliver(vm, method string, request any) bool {
+	tries := 1
+	select {
+	case c.background <- struct{}{}:
+		defer func() { <-c.background }()
+		tries = deliverTries
+	default:
+	}
+	backoff := deliverBackoff
+	for try := range tries {
+		if try > 0 {
+			sleep(context.Background(), c.jitter(backoff))
+			backoff *= 2
+		}
+		var reply AbortReply
+		if call(context.Background(), c.transport, deliverTimeout, vm, method, request, &reply) == nil {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/record/session_test.go
+++ b/internal/record/session_test.go
@@ -1,49 +1,288 @@
 package record
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
 )
 
-// Guards against running two resends that arrive at once at two dispatchers.
-func TestDuplicatesRunOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, names := newCluster(5)
-		b := request(names)
-		results := make(chan string, 2)
-		for _, vm := range []string{"d1", "d2"} {
-			go func() {
-				r, s := begin(NewCoordinator(vm, 1, c.from(vm)), b)
-				if r != nil {
-					r.Finish(context.Background(), Answer{Status: 200, Body: []byte("posted")})
-				}
-				results <- s
-			}()
-		}
-		got := map[string]int{<-results: 1}
-		got[<-results]++
-		if got["running"] != 1 || got[`answer 200 "posted"`] != 1 {
-			t.Fatalf("got %v", got)
+// script logs one golden session.
+type script struct {
+	t      *testing.T
+	c      *cluster
+	names  []string
+	sent   BeginRequest
+	log    *bytes.Buffer
+	vms    map[string]*Coordinator
+	fenced bool
+}
+
+func (s *script) event(format string, args ...any) {
+	fmt.Fprintf(s.log, "  "+format+"\n", args...)
+}
+
+// send begins the request through a dispatcher.
+func (s *script) send(vm string) *Running {
+	d, ok := s.vms[vm]
+	if !ok {
+		d = NewCoordinator(vm, 1, s.c.from(vm))
+		d.SetFenced(func(string, uint64) bool { return s.fenced })
+		s.vms[vm] = d
+	}
+	r, result := begin(d, s.sent)
+	s.event("%s sends: %s", vm, result)
+	return r
+}
+
+func (s *script) finish(r *Running, body string) {
+	r.Finish(context.Background(), Answer{Status: 200, Body: []byte(body)})
+	s.event("%s finishes", r.attempt.VM)
+}
+
+// lose drops the starts, and with killed all calls, of vm to the holders.
+func (s *script) lose(vm string, killed bool, holders ...string) {
+	previous := s.c.inject
+	inject := func(from, to, method string, payload []byte) fault {
+		if from == vm && (method == MethodStart && slices.Contains(holders, to) || killed && method != MethodStart) {
+			return fault{loseRequest: true}
 		}
-	})
+		if previous != nil {
+			return previous(from, to, method, payload)
+		}
+		return fault{}
+	}
+	s.c.set(func() { s.c.inject = inject })
 }
 
-// Guards against a restarted holder that refuses for ever, or that grants an
-// ID whose record it lost.
-func TestRestartedHolderCopies(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, names := newCluster(3)
-		b := request(names)
-		if _, got := begin(NewCoordinator("d1", 1, c.from("d1")), b); got != "running" {
-			t.Fatal(got)
+func (s *script) down(holders ...string) {
+	for _, name := range holders {
+		s.c.set(func() { s.c.down[name] = true })
+	}
+	s.event("lost: %v", holders)
+}
+
+func (s *script) restart(name string, recover bool) {
+	s.c.restart(name)
+	s.event("%s restarts empty", name)
+	if recover {
+		s.event("%s recovers: %v", name, s.c.recover(name, s.names))
+	}
+}
+
+// sessions are the rows of the table of points of loss in docs/design.md, and
+// the faults of single mechanisms.
+var sessions = []struct {
+	name    string
+	holders int
+	run     func(s *script)
+}{
+	{"dispatcher killed before quorum", 3, func(s *script) {
+		s.lose("d1", true, "h2", "h3")
+		s.send("d1")
+		s.send("d2")
+	}},
+	{"two dispatchers killed before quorum", 3, func(s *script) {
+		s.lose("d1", true, "h2", "h3")
+		s.lose("d2", true, "h3")
+		s.send("d1")
+		s.send("d2")
+		s.send("d3")
+		s.fenced = true
+		s.event("d1 and d2 are fenced")
+		s.send("d3")
+	}},
+	{"dispatcher killed after start, answer arrives late", 3, func(s *script) {
+		r := s.send("d1")
+		s.send("d2")
+		s.fenced = true
+		s.send("d2")
+		s.finish(r, "late")
+		s.send("d2")
+	}},
+	{"one holder of three lost, then two", 3, func(s *script) {
+		s.down("h1")
+		s.finish(s.send("d1"), "posted")
+		s.send("d2")
+		s.down("h2")
+		s.send("d2")
+		s.sent.ID.Key = "dues-2"
+		s.send("d2")
+	}},
+	{"two holders of five lost, then three", 5, func(s *script) {
+		s.down("h1", "h2")
+		s.finish(s.send("d1"), "posted")
+		s.send("d2")
+		s.down("h3")
+		s.sent.ID.Key = "dues-2"
+		s.send("d2")
+	}},
+	{"two holders lost after the start", 3, func(s *script) {
+		s.lose("d1", false, "h3")
+		s.send("d1")
+		s.restart("h1", false)
+		s.restart("h2", false)
+		s.fenced = true
+		s.send("d2")
+	}},
+	{"holder restarted empty", 3, func(s *script) {
+		s.lose("d1", false, "h3")
+		s.send("d1")
+		s.down("h2")
+		s.restart("h1", false)
+		s.send("d2")
+		s.sent.ID.Key = "dues-2"
+		time.Sleep(2 * ClockAllowance)
+		s.sent.FirstSent = time.Now().UnixMilli()
+		s.send("d2")
+	}},
+	{"second loss right after a repair", 3, func(s *script) {
+		s.lose("d1", false, "h3")
+		r := s.send("d1")
+		s.restart("h1", true)
+		s.restart("h2", true)
+		s.fenced = true
+		s.send("d2")
+		s.finish(r, "posted")
+		s.restart("h3", true)
+		s.send("d2")
+	}},
+	{"abort lost", 3, func(s *script) {
+		s.lose("d1", true, "h2", "h3")
+		s.lose("d2", false, "h2")
+		s.send("d1")
+		s.send("d2")
+		s.down("h2")
+		s.fenced = true
+		s.send("d3")
+		s.c.set(func() { s.c.down["h2"] = false })
+		s.event("h2 returns with its memory")
+		s.send("d3")
+	}},
+	{"start arrives after the abort", 3, func(s *script) {
+		s.c.inject = func(from, to, method string, _ []byte) fault {
+			if from == "d1" && method == MethodStart {
+				return fault{delay: 5 * time.Second}
+			}
+			return fault{}
+		}
+		s.send("d1")
+		time.Sleep(10 * time.Second)
+		for _, name := range s.names {
+			reply := s.c.stores[name].start(time.Now().UnixMilli(), StartRequest{
+				ID: s.sent.ID, Fingerprint: s.sent.Fingerprint, FirstSent: s.sent.FirstSent,
+				Retention: s.sent.Retention, Query: true,
+			})
+			s.event("%s stores: %s", name, reply.State)
+		}
+		s.send("d2")
+	}},
+	{"full store", 3, func(s *script) {
+		for _, store := range s.c.stores {
+			store.maxBytes = entryBytes * 3 / 2
+		}
+		s.finish(s.send("d1"), string(make([]byte, entryBytes)))
+		first := s.sent.ID
+		s.sent.ID.Key = "dues-2"
+		s.send("d1")
+		s.sent.ID = first
+		s.send("d1")
+		time.Sleep(testRetention + ClockAllowance + 2*time.Minute)
+		s.event("the retention ends")
+		for _, store := range s.c.stores {
+			store.Sweep(time.Now().UnixMilli())
 		}
-		c.restart(names[0])
-		if err := c.recover(names[0], names); err != nil {
-			t.Fatal(err)
+		s.sent.ID.Key = "dues-3"
+		s.sent.FirstSent = time.Now().UnixMilli()
+		s.send("d1")
+	}},
+	{"expired id, then a longer retention", 3, func(s *script) {
+		s.finish(s.send("d1"), "posted")
+		time.Sleep(testRetention + ClockAllowance + 2*time.Minute)
+		for _, store := range s.c.stores {
+			store.Sweep(time.Now().UnixMilli())
 		}
-		if _, got := begin(NewCoordinator("d2", 1, c.from("d2")), b); got != "started_elsewhere (unknown)" {
-			t.Fatal(got)
+		s.send("d1")
+		s.sent.Retention = 2 * testRetention
+		s.event("the retention is doubled")
+		s.send("d1")
+		s.sent.FirstSent = time.Now().UnixMilli() + 31_000
+		s.send("d1")
+	}},
+	{"id reused with another body", 3, func(s *script) {
+		s.send("d1")
+		s.sent.Fingerprint++
+		s.send("d2")
+	}},
+	{"answer too large to keep", 3, func(s *script) {
+		s.finish(s.send("d1"), string(make([]byte, MaxAnswerBytes+1)))
+		s.send("d1")
+	}},
+	{"holder set changed", 6, func(s *script) {
+		s.sent.HolderSets = [][]string{s.names[:3]}
+		r := s.send("d1")
+		s.sent.HolderSets = [][]string{s.names[3:], s.names[:3]}
+		s.send("d2")
+		s.finish(r, "posted")
+		s.send("d2")
+		s.sent.ID.Key = "dues-2"
+		s.send("d2")
+		s.sent.HolderSets = [][]string{s.names[3:]}
+		s.send("d1")
+	}},
+	{"target refused before running", 3, func(s *script) {
+		s.send("d1").Abort(context.Background())
+		s.event("d1 aborts")
+		s.send("d2")
+	}},
+}
+
+// Guards against a second run, a wrong outcome or a lost answer after each of
+// the losses that the design lists.
+func TestSessions(t *testing.T) {
+	var log bytes.Buffer
+	for _, session := range sessions {
+		fmt.Fprintf(&log, "%s\n", session.name)
+		synctest.Test(t, func(t *testing.T) {
+			c, names := newCluster(session.holders)
+			vms := make(map[string]*Coordinator)
+			session.run(&script{t: t, c: c, names: names, sent: request(names), log: &log, vms: vms})
+			time.Sleep(time.Minute) // deliveries in the background end
+		})
+	}
+	goldie.New(t).Assert(t, "sessions", log.Bytes())
+}
+
+// Guards against two dispatchers that both run, or that block each other, when
+// resends arrive at once.
+func TestDuplicatesRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for try := range 20 {
+			c, names := newCluster(5)
+			b := request(names)
+			results := make(chan string, 3)
+			for _, vm := range []string{"d1", "d2", "d3"} {
+				go func() {
+					r, s := begin(NewCoordinator(vm, uint64(try), c.from(vm)), b)
+					if r != nil {
+						r.Finish(context.Background(), Answer{Status: 200, Body: []byte("posted")})
+					}
+					results <- s
+				}()
+			}
+			got := make(map[string]int)
+			for range 3 {
+				got[<-results]++
+			}
+			if got["running"] != 1 || got[`answer 200 "posted"`] != 2 {
+				t.Fatalf("try %d: got %v", try, got)
+			}
+			time.Sleep(time.Minute)
 		}
 	})
 }
--- /dev/null
+++ b/internal/record/store_test.go
@@ -0,0 +1,166 @@
+package record
+
+import (
+	"runtime"
+	"testing"
+	"time"
+)
+
+// oldHolders returns three stores that started long ago, and a start of
+// attempt n for one ID on all of them.
+func oldHolders() (stores map[string]*Store, now int64, start func(n uint64) StartRequest) {
+	now = time.Hour.Milliseconds()
+	names := []string{"h1", "h2", "h3"}
+	stores = make(map[string]*Store)
+	for _, name := range names {
+		stores[name] = NewStore(0, 1<<20)
+	}
+	return stores, now, func(n uint64) StartRequest {
+		return StartRequest{
+			ID: ID{Key: "dues-1"}, Attempt: Attempt{VM: "d", Number: n}, FirstSent: now,
+			Retention: testRetention, Holders: [][]string{names},
+		}
+	}
+}
+
+// replace gives h2 an empty store that copied the records of h1 and h3.
+func replace(stores map[string]*Store, now int64) {
+	fresh := NewStore(now+1, 1<<20)
+	for _, name := range []string{"h1", "h3"} {
+		page := stores[name].copyPage("h2", CopyRequest{Incarnation: now + 1})
+		for _, c := range page.Records {
+			fresh.merge(c)
+		}
+		fresh.readiness.noteCopy(name, page.Authority)
+	}
+	stores["h2"] = fresh
+}
+
+func promise(r StartRequest) AbortRequest {
+	return AbortRequest{
+		ID: r.ID, Attempt: r.Attempt, FirstSent: r.FirstSent,
+		Retention: r.Retention, Holders: r.Holders, Promise: true,
+	}
+}
+
+// Guards against a holder that grants an attempt which a takeover counted as
+// refused: late, after a restart, or because the promise removed the record.
+func TestPromisesAreKept(t *testing.T) {
+	stores, now, start := oldHolders()
+	stores["h1"].start(now, start(1))
+	if stores["h1"].abort(now, promise(start(1))).Refused {
+		t.Error("h1 refuses the attempt that it granted")
+	}
+	for _, name := range []string{"h2", "h3"} {
+		if !stores[name].abort(now, promise(start(1))).Refused {
+			t.Errorf("%s does not promise", name)
+		}
+		if got := stores[name].start(now, start(1)).State; got != Aborted {
+			t.Errorf("late start at %s: %s", name, got)
+		}
+	}
+	delete(stores["h1"].entries, start(1).ID)
+	stores["h1"].buckets = nil // the start to h1 is late, too
+	replace(stores, now)
+	if got := stores["h2"].start(now, start(1)).State; got != Aborted {
+		t.Errorf("late start after the restart: %s", got)
+	}
+	if got := stores["h2"].start(now, start(2)).State; got != Granted {
+		t.Errorf("next attempt after the restart: %s", got)
+	}
+}
+
+// Guards against a recovered holder that decides between two copied attempts,
+// either of which may be running, and against one that stays blocked after the
+// answer is known.
+func TestSeveralCopiesBlock(t *testing.T) {
+	stores, now, start := oldHolders()
+	stores["h1"].start(now, start(1))
+	stores["h3"].start(now, start(2))
+	replace(stores, now)
+	for n := range uint64(3) {
+		if got := stores["h2"].start(now, start(n+1)).State; got != NotReady {
+			t.Errorf("attempt %d: %s", n+1, got)
+		}
+	}
+	if stores["h2"].abort(now, promise(start(3))).Refused {
+		t.Error("promised without knowing which attempts were granted")
+	}
+	r := start(2)
+	stores["h2"].finish(now, FinishRequest{ID: r.ID, Attempt: r.Attempt, FirstSent: now, Retention: testRetention})
+	if got := stores["h2"].start(now, start(3)).State; got != Finished {
+		t.Errorf("after the answer: %s", got)
+	}
+}
+
+// Guards against a majority made of a grant that a holder forgot and one that
+// was given after that holder copied its records.
+func TestForgottenGrantsDoNotCount(t *testing.T) {
+	stores, now, start := oldHolders()
+	v := &view{sets: start(1).Holders, replies: make(map[string]StartReply)}
+	v.replies["h2"] = stores["h2"].start(now, start(1))
+	replace(stores, now)
+	v.replies["h1"] = stores["h1"].start(now, start(1))
+	if v.granted() {
+		t.Error("the grant of the earlier h2 counts")
+	}
+	p := promises{"h2": {Refused: true}, "h3": stores["h3"].abort(now, promise(start(1)))}
+	if p.majorityOf(start(1).Holders[0]) {
+		t.Error("the promise of the earlier h2 counts")
+	}
+}
+
+// Guards against a record that is removed before its retention ends, and
+// against memory that is never given back.
+func TestSweepKeepsTheRetention(t *testing.T) {
+	stores, now, start := oldHolders()
+	s := stores["h1"]
+	s.start(now, start(1))
+	end := expiry(now, testRetention)
+	s.Sweep(end)
+	if got := s.Stats(); got.Records != 1 || got.Starts[Granted] != 1 {
+		t.Errorf("at the end of the retention: %+v", got)
+	}
+	s.Sweep(end + 2*time.Minute.Milliseconds())
+	if got := s.Stats(); got.Records != 0 || got.Bytes != 0 || len(s.buckets) != 0 {
+		t.Errorf("after the retention: %+v", got)
+	}
+}
+
+// Guards against accepting garbage from a link, and unbalanced sets of holders.
+func TestHandlersAndHolders(t *testing.T) {
+	s := NewStore(0, 0)
+	for _, method := range []string{MethodStart, MethodFinish, MethodAbort, MethodCopy} {
+		if _, err := s.Handle(method)(t.Context(), "x", []byte{0xc1}); err == nil {
+			t.Errorf("%s accepts garbage", method)
+		}
+	}
+	for candidates, want := range []int{0, 1, 2, 3, 3, 5, 5} {
+		names := []string{"a", "b", "c", "d", "e", "f"}[:candidates]
+		if got := Holders(ID{Key: "k"}, append(names, names...)); len(got) != want {
+			t.Errorf("%d candidates: %v", candidates, got)
+		}
+	}
+}
+
+func BenchmarkStoreStartFinish(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	_, now, start := oldHolders()
+	s := NewStore(0, 1<<40)
+	answer := Answer{Status: 200, Body: make([]byte, 200)}
+	for n := 0; b.Loop(); n++ {
+		r := start(1)
+		r.ID.Key = time.Duration(n).String()
+		s.start(now, r)
+		s.finish(now, FinishRequest{
+			ID: r.ID, Attempt: r.Attempt, FirstSent: now, Retention: testRetention, Holders: r.Holders, Answer: answer,
+		})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	stats := s.Stats()
+	b.ReportMetric(float64(stats.Bytes)/float64(stats.Records), "accountedB/record")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(stats.Records), "heapB/record")
+}
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -177,3 +177,14 @@
 	}
 	return true
 }
+
+// allAbsent reports whether every holder answered and stores no attempt.
+func (v *view) allAbsent(holders []string) bool {
+	for _, vm := range holders {
+		r, ok := v.replies[vm]
+		if !ok || r.State != Absent && r.State != Aborted {
+			return false
+		}
+	}
+	return true
+}
