Let a request wait for another attempt without holding its slot

Resends that arrive while the first attempt runs wait for its answer inside Begin. Their dispatcher holds a slot of the target meanwhile, so a few resends of a slow posting block the target.

Begin with NoWait returns started_elsewhere at once, and Await waits for the answer without a slot. Lookup counts an attempt at a minority as started, since its late starts may still give it a majority after not_run was reported.

--- /dev/null
+++ b/internal/record/await.go
@@ -0,0 +1,31 @@
+package record
+
+import (
+	"context"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+)
+
+// Await waits for the answer of another attempt that Begin with NoWait found.
+// It returns nil, nil when no attempt can be Running any more, so that Begin
+// may be called again, and StartedElsewhere when ctx ended first.
+func (c *Coordinator) Await(ctx context.Context, b BeginRequest) (*Answer, *errkind.Error) {
+	s, err := c.newSession(b)
+	if err != nil {
+		return nil, err
+	}
+	s.contended = true
+	for ctx.Err() == nil {
+		v := s.ask(ctx, Attempt{}, true)
+		if answer, err := v.verdict(); answer != nil || err != nil {
+			return answer, err
+		}
+		if ctx.Err() == nil && s.settle(ctx, v, v.others(nil)) {
+			return nil, nil
+		}
+		if !s.pause(ctx) {
+			break
+		}
+	}
+	return nil, errkind.New(errkind.StartedElsewhere, "another attempt of the request may be running")
+}
--- a/internal/record/coordinator.go
+++ b/internal/record/coordinator.go
@@ -97,6 +97,9 @@
 	// HolderSets are the candidate VM names, the current set first, then every
 	// set that was replaced within the retention.
 	HolderSets [][]string
+	// NoWait makes Begin return StartedElsewhere as soon as another attempt may
+	// be Running, so that the caller can give up its slot and call Await.
+	NoWait bool
 }
 
 func (b BeginRequest) check(now int64) *errkind.Error {
@@ -183,6 +186,9 @@
 			return nil, false, s.failure("too few record holders are ready")
 		}
 		again := s.settle(ctx, v, others)
+		if !again && s.request.NoWait {
+			return nil, false, s.failure("")
+		}
 		if !s.pause(ctx) {
 			return nil, false, nil
 		}
--- a/internal/record/lookup.go
+++ b/internal/record/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
@@ -15,7 +14,9 @@
 
 // Lookup asks the holders of a request for its record without starting an
 // attempt. It returns nil, nil when no attempt can have run, and an error with
-// outcome unknown when too few holders answered to tell. A request first sent
+// outcome unknown when too few holders answered to tell. An attempt seen at a
+// minority counts as started, since its late starts may still give it a
+// majority. A request first sent
 // before the retention gets the error ExpiredID.
 func (c *Coordinator) Lookup(ctx context.Context, b BeginRequest) (*Found, *errkind.Error) {
 	s, err := c.newSession(b)
@@ -30,8 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	others := v.others(nil)
-	if slices.ContainsFunc(others, v.mayBeRunning) {
+	if len(v.others(nil)) > 0 {
 		return &Found{}, nil
 	}
 	if !v.known() {
