--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -25,13 +25,9 @@
 	if p == nil {
 		return nil, linkDown(to, errUnknownPeer)
 	}
-	c, err := p.connection(ctx)
+	c, k, err := p.start(ctx, method, payload)
 	if err != nil {
-		return nil, linkDown(to, err)
-	}
-	k, failed := c.start(ctx, method, payload)
-	if failed != nil {
-		return nil, failed
+		return nil, err
 	}
 	r := c.wait(ctx, k)
 	if r.err != nil {
@@ -40,6 +36,24 @@
 	return r.payload, nil
 }
 
+// start queues a request on the link, or on the next one if the link ends
+// before it took the request.
+func (p *peer) start(ctx context.Context, method string, payload []byte) (*conn, *call, error) {
+	for {
+		c, err := p.connection(ctx)
+		if err != nil {
+			return nil, nil, linkDown(p.name, err)
+		}
+		k, failed := c.start(ctx, method, payload)
+		if failed == nil {
+			return c, k, nil
+		}
+		if failed.Kind != errkind.LinkDown {
+			return nil, nil, failed
+		}
+	}
+}
+
 // checkRequest refuses what must not be sent.
 func (n *Node) checkRequest(ctx context.Context, to, method string, payload []byte) error {
 	if err := ctx.Err(); err != nil {
--- a/internal/link/call_test.go
+++ b/internal/link/call_test.go
@@ -67,6 +67,7 @@
 		defer cancel()
 		check("handler error", errkind.NoOwner, "b", "refuse", t.Context())
 		check("handler's LinkDown", errkind.LinkLost, "b", "down", t.Context())
+		check("handler's LinkDown in a call to itself", errkind.LinkLost, "a", "down", t.Context())
 		check("unknown method", errkind.BadRequest, "b", "none", t.Context())
 		check("panic", errkind.Internal, "b", "panic", t.Context())
 		check("unknown peer", errkind.LinkDown, "c", "refuse", t.Context())
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -80,10 +80,11 @@
 		return
 	}
 	c.err = err
+	// A caller that sees its call end must find the connection ended too.
+	close(c.done)
 	c.endCalls()
 	c.endServed()
 	c.mu.Unlock()
-	close(c.done)
 	_ = c.nc.Close()
 	if reason := badReason(err); reason != "" {
 		c.node.bad.add(reason)
@@ -109,6 +110,16 @@
 	return ""
 }
 
+// ended reports whether the connection has ended.
+func (c *conn) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // signal wakes the writer.
 func (c *conn) signal() {
 	select {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -59,20 +59,20 @@
 	p.handlers[class]--
 }
 
-// connection returns the link, waiting for a dial in progress but not for the
-// pause before one.
+// connection returns the link. It waits for a dial in progress, also for the one
+// that follows the end of a connection at once, but not for the pause before one.
 func (p *peer) connection(ctx context.Context) (*conn, error) {
 	for {
 		p.mu.Lock()
 		p.use()
 		phase, c, err, changed := p.phase, p.conn, p.lastErr, p.changed
 		p.mu.Unlock()
-		switch phase {
-		case phaseUp:
-			return c, nil
-		case phaseWaiting, phaseUnused:
+		if phase == phaseWaiting || phase == phaseUnused {
 			return nil, err
 		}
+		if phase == phaseUp && !c.ended() {
+			return c, nil
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -125,7 +125,7 @@
 		}
 		if failures > 0 || lived == 0 {
 			p.set(phaseWaiting, nil, err)
-			p.node.pause(failures)
+			p.node.pause(max(failures-1, 0))
 		}
 		failures++
 	}
@@ -193,9 +193,9 @@
 }
 
 // pause waits before a reconnect: a random time between one half and the whole
-// of a bound that doubles with each failure in a row.
-func (n *Node) pause(failures int) {
-	half := min(BackoffMin<<min(failures, 5), BackoffMax/2)
+// of a bound that doubles with each pause in a row.
+func (n *Node) pause(earlier int) {
+	half := min(BackoffMin<<min(earlier, 5), BackoffMax/2)
 	n.mu.Lock()
 	d := half + time.Duration(n.rng.Int64N(int64(half)))
 	n.mu.Unlock()
