Stop granting once a grant was reported as expired

After GrantExpired the control leader gives the slices to other targets, while a target that resumed could be granted the same slices again under the old epoch, so that a slice had two owners. The renewer now grants nothing after it reported the expiry; the target returns under a new epoch.

A property test plays random delays, losses, freezes, restarts and clock rates within 5%. It fails when validity counts from the receive time or lacks the clock allowance, when expiry counts from the send time, lacks its allowance or forgets the predecessor, and when grants go on after the expiry.

--- a/internal/target/renewer.go
+++ b/internal/target/renewer.go
@@ -56,9 +56,9 @@
 // The target keeps the later of two expiry times of one incarnation and epoch.
 // A renewal that arrives late then changes nothing.
 //
-// Invariants, for clocks whose rates differ by less than 10%: Valid is false
-// once the grant has expired on the target's clock, and Expired is false while
-// the target would accept work of this dispatcher or an earlier one.
+// Invariants, for clocks whose rates differ by less than 9%: Valid is false once
+// the grant has expired on the target's clock, and once Expired was true the
+// target accepts no work of this dispatcher or an earlier one any more.
 type Renewer struct {
 	contract Contract
 	began    time.Duration
@@ -75,8 +75,8 @@
 	failures  int
 	repliedAt time.Duration
 	reply     GrantReply
-	// restarted and superseded end the contract for good.
-	restarted, superseded bool
+	// restarted, superseded and expired end the contract for good.
+	restarted, superseded, expired bool
 }
 
 // NewRenewer begins to renew at time now.
@@ -104,21 +104,24 @@
 	return false
 }
 
-// Next returns the renewal to send at time now. Without a reading it grants
-// nothing and asks for one. Reply names the request by the same time.
+// Next returns the renewal to send at time now. Without a reading, and after
+// Expired reported the expiry, it grants nothing and asks for a reading. Reply
+// names the request by the same time.
 func (r *Renewer) Next(now time.Duration) GrantRequest {
 	req := GrantRequest{
 		Target: r.contract.Target, Incarnation: r.contract.Incarnation,
 		VM: r.contract.VM, Epoch: r.contract.Epoch, Slices: r.contract.Slices,
 	}
-	if r.latest.known {
+	based := reading{}
+	if r.latest.known && !r.expired {
 		req.UntilMs = r.latest.clockMs + contract.TargetGrant.Milliseconds()
 		r.usedAt = max(r.usedAt, r.latest.receivedAt)
+		based = r.latest
 	}
 	if len(r.sent) == maxSent {
 		r.sent = r.sent[1:]
 	}
-	r.sent = append(r.sent, sent{at: now, based: r.latest, slices: r.contract.Slices})
+	r.sent = append(r.sent, sent{at: now, based: based, slices: r.contract.Slices})
 	return req
 }
 
@@ -195,10 +198,17 @@
 }
 
 // Expired reports that no work sent by this dispatcher or an earlier one can
-// still begin on the target. It never holds for a target that does not check
-// grants, nor after a later dispatcher took over, which then reports instead.
+// still begin on the target. The control leader then gives the slices to other
+// targets, so once Expired was true the renewer grants nothing any more; the
+// target returns under a new epoch. Expired is never true for a target that
+// does not check grants, nor after a later dispatcher took over, which then
+// reports instead.
 func (r *Renewer) Expired(now time.Duration) bool {
-	return r.contract.ChecksGrants && !r.superseded && now-r.usedAt >= contract.GrantExpiryWait
+	if !r.contract.ChecksGrants || r.superseded {
+		return false
+	}
+	r.expired = r.expired || now-r.usedAt >= contract.GrantExpiryWait
+	return r.expired
 }
 
 // Restarted reports that the target answered as another incarnation.
--- /dev/null
+++ b/internal/target/renewer_test.go
@@ -0,0 +1,228 @@
+package target
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/contract"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+const ms = time.Millisecond
+
+// model is a target that checks grants, a network with delays, losses and
+// pauses, and a dispatcher, in virtual time on the dispatcher's clock.
+type model struct {
+	rng    *rand.Rand
+	r      *Renewer
+	rate   float64
+	events []event
+	// untilMs and incarnation are the target's own state.
+	untilMs     int64
+	incarnation uint64
+	startedAt   time.Duration
+	frozenUntil time.Duration
+	expired     bool
+	bad         string
+	granted     bool
+	sawExpiry   bool
+}
+
+type event struct {
+	at  time.Duration
+	run func(now time.Duration)
+}
+
+func (m *model) at(at time.Duration, run func(time.Duration)) {
+	i := sort.Search(len(m.events), func(i int) bool { return m.events[i].at > at })
+	m.events = append(m.events, event{})
+	copy(m.events[i+1:], m.events[i:])
+	m.events[i] = event{at, run}
+}
+
+// clock is the target's monotonic clock in milliseconds.
+func (m *model) clock(now time.Duration) int64 {
+	return int64(float64(now-m.startedAt)*m.rate) / int64(ms)
+}
+
+// accepts reports whether the target would begin work of the first incarnation.
+func (m *model) accepts(now time.Duration) bool {
+	return m.incarnation == 1 && m.clock(now) < m.untilMs
+}
+
+// delay is mostly short; one in eight is up to 400 ms.
+func (m *model) delay() time.Duration {
+	if m.rng.IntN(8) == 0 {
+		return time.Duration(m.rng.IntN(400)) * ms
+	}
+	return time.Duration(m.rng.IntN(5000)) * time.Microsecond
+}
+
+// renew sends one renewal and plans the next.
+func (m *model) renew(now time.Duration) {
+	req := m.r.Next(now)
+	if m.rng.IntN(8) == 0 {
+		m.at(now+200*ms, m.r.Failed)
+	}
+	if m.rng.IntN(8) != 0 {
+		m.at(now+m.delay(), func(at time.Duration) { m.serve(at, now, req) })
+	}
+	m.at(now+contract.RenewInterval+m.delay()/4, m.renew)
+}
+
+// serve applies a renewal at the target, later if the target is frozen.
+func (m *model) serve(at, sentAt time.Duration, req GrantRequest) {
+	if at < m.frozenUntil {
+		m.at(m.frozenUntil, func(at time.Duration) { m.serve(at, sentAt, req) })
+		return
+	}
+	accepted := req.Incarnation == m.incarnation
+	if accepted {
+		m.untilMs = max(m.untilMs, req.UntilMs)
+	}
+	reply := GrantReply{Accepted: accepted, Incarnation: m.incarnation, ClockMs: m.clock(at), Epoch: 2}
+	if m.rng.IntN(10) != 0 {
+		m.at(at+m.delay(), func(received time.Duration) { m.r.Reply(sentAt, received, reply) })
+	}
+}
+
+// observe compares what the renewer says with the target's state.
+func (m *model) observe(now time.Duration) {
+	valid, accepts := m.r.Valid(now), m.accepts(now)
+	m.granted = m.granted || valid
+	if now%(25*ms) == 0 {
+		m.expired = m.r.Expired(now)
+		m.sawExpiry = m.sawExpiry || m.expired
+	}
+	// A restart is known only from the next reply; the new incarnation has no grant.
+	if valid && !accepts && m.incarnation == 1 && m.bad == "" {
+		m.bad = fmt.Sprintf("at %v valid, but expired on the target", now)
+	}
+	if m.expired && accepts && m.bad == "" {
+		m.bad = fmt.Sprintf("at %v expired, but the target accepts work", now)
+	}
+}
+
+// run plays five seconds. The target begins with a grant of an earlier
+// dispatcher, whose last renewal may still be under way.
+func (m *model) run(checks bool) {
+	m.startedAt = -time.Duration(m.rng.IntN(5000)) * ms
+	earlier := m.clock(-time.Duration(m.rng.IntN(500))*ms) + contract.TargetGrant.Milliseconds()
+	m.at(m.delay(), func(time.Duration) { m.untilMs = max(m.untilMs, earlier) })
+	m.r = NewRenewer(0, Contract{Target: "t", Incarnation: 1, Epoch: 2, ChecksGrants: checks})
+	m.at(0, m.renew)
+	for range m.rng.IntN(4) {
+		at := time.Duration(m.rng.IntN(4000)) * ms
+		m.at(at, func(now time.Duration) { m.frozenUntil = now + time.Duration(m.rng.IntN(1500))*ms })
+	}
+	if m.rng.IntN(4) == 0 {
+		at := time.Duration(m.rng.IntN(5000)) * ms
+		m.at(at, func(now time.Duration) { m.incarnation, m.untilMs, m.startedAt = 2, 0, now })
+	}
+	for now := time.Duration(0); now < 5*time.Second; now += ms {
+		for len(m.events) > 0 && m.events[0].at <= now {
+			e := m.events[0]
+			m.events = m.events[1:]
+			e.run(now)
+		}
+		m.observe(now)
+	}
+}
+
+// Guards against work sent after the target's grant expired, and against a
+// slice given to another target while the old owner still accepts work.
+func TestRenewerUnderDelays(t *testing.T) {
+	seed := int64(1)
+	if s := os.Getenv("FLAMINGOREEL_TEST_SEED"); s != "" {
+		seed, _ = strconv.ParseInt(s, 10, 64)
+	}
+	granted, expired := 0, 0
+	property := prop.ForAll(func(s uint64, rate float64) string {
+		m := &model{rng: rand.New(rand.NewPCG(s, 0)), rate: rate, incarnation: 1}
+		m.run(true)
+		if m.granted {
+			granted++
+		}
+		if m.sawExpiry {
+			expired++
+		}
+		return m.bad
+	}, gen.UInt64(), gen.Float64Range(0.95, 1.05))
+	params := gopter.DefaultTestParametersWithSeed(seed)
+	params.MinSuccessfulTests = 2000
+	if result := property.Check(params); !result.Passed() {
+		t.Errorf("%v %v\nrepeat with FLAMINGOREEL_TEST_SEED=%d go test -run TestRenewerUnderDelays ./internal/target",
+			result.Labels, result.Args, seed)
+	}
+	if granted < 1500 || expired < 200 {
+		t.Errorf("only %d runs with a grant and %d with an expiry, so little was tested", granted, expired)
+	}
+}
+
+// Guards against a contract that goes on after the target restarted or obeys a
+// later dispatcher, and against an expiry of a target that does not check.
+func TestRenewerEnds(t *testing.T) {
+	start := func(checks bool, slices ...GrantSlice) *Renewer {
+		r := NewRenewer(0, Contract{Incarnation: 1, Epoch: 2, ChecksGrants: checks, Slices: slices})
+		if until := r.Next(0).UntilMs; until != 0 {
+			t.Errorf("first renewal until %d, want 0", until)
+		}
+		r.Reply(0, 10*ms, GrantReply{Accepted: true, Incarnation: 1, Epoch: 2, ClockMs: 1000})
+		if r.Valid(10 * ms) {
+			t.Error("valid before a grant was confirmed")
+		}
+		if until := r.Next(20 * ms).UntilMs; until != 1500 {
+			t.Errorf("second renewal until %d, want 1500", until)
+		}
+		r.Reply(20*ms, 30*ms, GrantReply{Accepted: true, Incarnation: 1, Epoch: 2, ClockMs: 1025})
+		if !r.Valid(30 * ms) {
+			t.Error("not valid after a confirmed grant")
+		}
+		return r
+	}
+	slice := GrantSlice{Slice: contract.Slice{ID: 7}, Fence: 3}
+	r := start(true, slice)
+	if !r.Covers(30*ms, 7, 3) || r.Covers(30*ms, 7, 4) || r.Covers(30*ms, 8, 3) {
+		t.Error("the grant covers slice 7 under fence 3 only")
+	}
+	r.SetSlices(nil)
+	if r.Covers(30*ms, 7, 3) {
+		t.Error("a slice that was taken away is still covered")
+	}
+	for _, rep := range []GrantReply{{Incarnation: 2, Epoch: 2}, {Incarnation: 1, Epoch: 3}} {
+		r := start(true)
+		r.Next(40 * ms)
+		r.Reply(40*ms, 41*ms, rep)
+		if r.Valid(41 * ms) {
+			t.Errorf("valid after %+v", rep)
+		}
+	}
+	r = start(true)
+	r.Failed(31 * ms)
+	r.Failed(32 * ms)
+	if !r.Valid(33*ms) || r.Reachable(30*ms+SilentAfter) {
+		t.Error("unreachable too early or too late")
+	}
+	r.Failed(33 * ms)
+	if r.Valid(34 * ms) {
+		t.Error("valid after three failures")
+	}
+	refused := NewRenewer(0, Contract{Incarnation: 1, Epoch: 2})
+	for at := time.Duration(0); at < 90*ms; at += 30 * ms {
+		refused.Next(at)
+		refused.Reply(at, at+ms, GrantReply{Incarnation: 1, Epoch: 2, ClockMs: int64(at/ms) + 1000})
+	}
+	if refused.Valid(62*ms) || !refused.Reachable(62*ms) {
+		t.Error("a target that refuses all renewals is reachable, but no work may be sent")
+	}
+	if start(false).Expired(time.Hour) {
+		t.Error("a target that does not check grants expired")
+	}
+}
