Refuse texts that are costly to parse

A text of 1 MiB with many fields without a value, or with deep nesting, kept the YAML parser busy for minutes: its time grows with the square of both. The tokens are now checked before parsing. Anchors, aliases, tags and complex keys are refused there too, with their place.

Without each of the two bounds TestParseRefusesCostlyInput fails.

--- a/internal/text/parse.go
+++ b/internal/text/parse.go
@@ -10,18 +10,10 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
-	"github.com/goccy/go-yaml/token"
 )
 
-// Bounds of what Parse reads and reports.
-const (
-	// maxNesting bounds nested flow collections and the indicators of nested
-	// block collections on one line. The YAML parser recurses per level, so
-	// that an unbounded text could exhaust the stack.
-	maxNesting = 32
-	// maxFaults bounds the faults that Parse returns.
-	maxFaults = 200
-)
+// maxFaults bounds the faults that Parse returns.
+const maxFaults = 200
 
 // Parse reads a text and fills in defaults. It returns either a valid text and
 // no faults, or nil and all faults in the order of their places. It accepts
@@ -58,7 +50,7 @@
 		return nil, &Fault{Line: 1, Column: 1, Kind: Syntax, Message: "the text contains a NUL byte"}
 	}
 	tokens := lexer.Tokenize(string(data))
-	if fault := checkNesting(tokens); fault != nil {
+	if fault := checkTokens(tokens); fault != nil {
 		return nil, fault
 	}
 	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
@@ -88,28 +80,6 @@
 	return root, nil
 }
 
-func checkNesting(tokens token.Tokens) *Fault {
-	flow, block, line := 0, 0, 0
-	for _, tk := range tokens {
-		if tk.Position.Line != line {
-			line = tk.Position.Line
-			block = 0
-		}
-		switch tk.Type {
-		case token.MappingStartType, token.SequenceStartType:
-			flow++
-		case token.MappingEndType, token.SequenceEndType:
-			flow--
-		case token.SequenceEntryType, token.MappingKeyType, token.MappingValueType, token.TagType, token.AnchorType:
-			block++
-		}
-		if flow > maxNesting || (flow == 0 && block > maxNesting) {
-			return &Fault{Line: tk.Position.Line, Column: tk.Position.Column, Kind: Syntax, Message: "the text is nested too deeply"}
-		}
-	}
-	return nil
-}
-
 func syntaxFault(err error) *Fault {
 	var se *yaml.SyntaxError
 	if errors.As(err, &se) && se.Token != nil && se.Token.Position != nil {
--- a/internal/text/text_test.go
+++ b/internal/text/text_test.go
@@ -74,12 +74,22 @@
 	}
 }
 
-// Deep nesting must not exhaust the stack of the recursive YAML parser.
-func TestParseDeepNesting(t *testing.T) {
-	const size = 100_000
-	for _, unit := range []string{"[", "{", "{a: ", "- ", "? ", "!t ", "&a ", "a: "} {
-		if _, faults := Parse([]byte(strings.Repeat(unit, size/len(unit)))); len(faults) == 0 {
-			t.Errorf("%q accepted", unit)
+// Input whose parsing takes time and memory that grow with the square of its
+// size must be refused before it is parsed: one change would stop a VM.
+func TestParseRefusesCostlyInput(t *testing.T) {
+	const size = 20_000
+	for unit, want := range map[string]string{
+		"[": tooDeep, "{": tooDeep, "{a: ": tooDeep, "- ": tooDeep, "a: ": tooDeep,
+		"a:\n": tooEmpty, "-\n": tooEmpty, "{a, b}, ": tooEmpty,
+		"? ": unsupported, "!t ": unsupported, "&a ": unsupported,
+	} {
+		input := strings.Repeat(unit, size/len(unit))
+		if strings.HasSuffix(unit, ", ") {
+			input = "a: [" + input + "]"
+		}
+		_, faults := Parse([]byte(input))
+		if len(faults) != 1 || faults[0].Message != want {
+			t.Errorf("%q: %v", unit, faults)
 		}
 	}
 }
