--- a/internal/text/text_test.go
+++ b/internal/text/text_test.go
@@ -110,3 +110,20 @@
 	goldie.New(t).Assert(t, "changes", []byte(strings.Join(Changes(old, updated), "\n")+"\n"))
 	goldie.New(t).Assert(t, "diff", []byte(Diff([]byte(minimal), []byte(changed))))
 }
+
+// The example deployments must stay valid: operators start from them.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.yaml")
+	if err != nil || len(files) != 2 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, faults := Parse(data); len(faults) > 0 {
+			t.Errorf("%s: %v", file, faults)
+		}
+	}
+}
