Add the demo with its recorded session

There was no way to see the system work as processes. scripts/demo.sh runs both users' deployments one after the other on loopback: three VMs in three regions and two targets per service, a posting sent twice, refusals, a data centre taken out and brought back through the text, and a killed owner.

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,22 @@
 # Fixed so that property tests draw the same cases on every run.
 export FLAMINGOREEL_TEST_SEED ?= 1
 
-.PHONY: build test demo prove soak load golden
+.PHONY: build test demo demo-check demo-golden prove soak load golden
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 test:
 	./scripts/test.sh
+
+# Shows the guarantees on both users' deployments, as processes on loopback.
+demo: build
+	./scripts/demo.sh
+
+# Compares the demo's output, without the times, with the recorded session.
+demo-check: build
+	./scripts/demo_check.sh
+
+# Records the demo's output as the session.
+demo-golden: build
+	./scripts/demo_check.sh -update
