--- a/internal/session/cluster_test.go
+++ b/internal/session/cluster_test.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -349,9 +348,3 @@
 	// end before.
 	time.Sleep(time.Minute)
 }
-
-// pretty returns v as indented JSON for failures.
-func pretty(v any) string {
-	data, _ := json.MarshalIndent(v, "", "  ")
-	return string(data)
-}
--- /dev/null
+++ b/internal/session/operate_test.go
@@ -0,0 +1,249 @@
+package session
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/flamingoreel/flamingoreel/internal/standin"
+)
+
+// workload sends reads and postings through all live VMs until stop is closed
+// and returns how many were not answered.
+func (c *cluster) workload(stop <-chan struct{}, vias func() []string) <-chan int {
+	failed := make(chan int, 1)
+	go func() {
+		n, failures := 0, 0
+		for {
+			select {
+			case <-stop:
+				failed <- failures
+				return
+			default:
+			}
+			names := vias()
+			key := keyNames[n%len(keyNames)]
+			q := call{via: names[n%len(names)], method: http.MethodGet, service: "ledger", tenant: "club-celje", key: key}
+			if n%3 == 0 {
+				q = c.posting(q.via, "ledger", "club-celje", key, "w-"+time.Since(c.began).String(), time.Now())
+			}
+			if a := c.do(q); a.outcome != "answered" {
+				failures++
+			}
+			n++
+			time.Sleep(3 * time.Millisecond)
+		}
+	}()
+	return failed
+}
+
+func allVMs() []string {
+	var names []string
+	for _, v := range smallVMs {
+		names = append(names, v.name)
+	}
+	return names
+}
+
+// Guards against work for a data centre that operators took out, and against
+// requests that fail while it leaves and returns.
+func TestSessionDataCentreOutAndBack(t *testing.T) {
+	session(t, "data_centre_out_and_back", func(c *cluster) {
+		stop := make(chan struct{})
+		failed := c.workload(stop, allVMs)
+		time.Sleep(time.Second)
+		c.apply("mb-1", strings.Replace(smallText, "{name: lj-a}", "{name: lj-a, state: out}", 1))
+		time.Sleep(3 * time.Second)
+		owners := c.ownersOf("kp-1")
+		c.logf("3 s after lj-a is out, its target owns %d slices", owners["ledger-lj"])
+		time.Sleep(2 * time.Second)
+		c.apply("kp-1", smallText)
+		c.eventually(10*time.Second, "lj-a serves again", func() bool { return c.ownersOf("kp-1")["ledger-lj"] > 0 })
+		c.logf("lj-a is in again and its target owns slices")
+		close(stop)
+		c.logf("requests that were not answered: %d", <-failed)
+	})
+}
+
+// ownersOf counts the owned slices of each target.
+func (c *cluster) ownersOf(via string) map[string]int {
+	owners := make(map[string]int)
+	s, err := c.vms[via].Status(context.Background())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for _, slice := range s.Slices {
+		owners[slice.Target]++
+	}
+	return owners
+}
+
+// Guards against requests that a planned stop of a VM cuts off.
+func TestSessionPlannedStopOfVM(t *testing.T) {
+	session(t, "planned_stop_of_vm", func(c *cluster) {
+		victim := c.dispatcher("kp-1", "ledger-lj")
+		stop := make(chan struct{})
+		failed := c.workload(stop, func() []string {
+			var names []string
+			for _, name := range allVMs() {
+				if name != victim {
+					names = append(names, name)
+				}
+			}
+			return names
+		})
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		started := time.Now()
+		c.vms[victim].Drain(ctx)
+		c.logf("drain ended before its limit: %v", time.Since(started) < 9*time.Second)
+		_ = c.servers[victim].Shutdown(ctx)
+		c.killVM(victim)
+		time.Sleep(2 * time.Second)
+		close(stop)
+		c.logf("requests that were not answered: %d", <-failed)
+	})
+}
+
+// Guards against requests that a target cuts off when it leaves, and against
+// new work for it a few seconds after it began to leave.
+func TestSessionPlannedStopOfTarget(t *testing.T) {
+	session(t, "planned_stop_of_target", func(c *cluster) {
+		stop := make(chan struct{})
+		failed := c.workload(stop, allVMs)
+		time.Sleep(time.Second)
+		c.targets["ledger-lj"].Drain(3 * time.Second)
+		time.Sleep(3 * time.Second)
+		c.logf("3 s after it began to leave, the target owns %d slices", c.ownersOf("kp-1")["ledger-lj"])
+		time.Sleep(time.Second)
+		close(stop)
+		c.logf("requests that were not answered: %d", <-failed)
+	})
+}
+
+// Guards against a home-tied request that is served, sent or stored outside
+// its home regions.
+func TestSessionHomeRegion(t *testing.T) {
+	session(t, "home_region", func(c *cluster) {
+		a := c.do(c.posting("lj-1", "ledger", "club-maribor", "member-a", "dues-1", time.Now()))
+		c.logf("posting at an entry outside the home region -> %s", brief(a))
+		a = c.post("mb-2", "ledger", "club-maribor", "member-a", "dues-1", time.Now())
+		c.logf("served by %s", a.from)
+		c.executed("club-maribor", "dues-1")
+	})
+}
+
+// Guards against two changes accepted on the same number, and against a
+// resent change that is refused or accepted twice.
+func TestSessionRacingOperators(t *testing.T) {
+	session(t, "racing_operators", func(c *cluster) {
+		one := strings.Replace(smallText, "slots: 6", "slots: 5", 1)
+		two := strings.Replace(smallText, "slots: 6", "slots: 4", 1)
+		change := func(via, text string) string {
+			r, _, err := c.vms[via].ChangeConfig(context.Background(), c.number, []byte(text))
+			switch {
+			case err != nil:
+				return string(err.Kind)
+			case r.Accepted:
+				return "accepted"
+			}
+			return "conflict"
+		}
+		first := change("lj-1", one)
+		second := change("mb-1", two)
+		c.logf("two changes on the same number -> %s, %s", first, second)
+		c.logf("the first one resent through a third VM -> %s", change("kp-1", one))
+		c.logf("the second one resent -> %s", change("kp-1", two))
+		time.Sleep(time.Second)
+		for _, name := range allVMs() {
+			number, _, _ := c.vms[name].Config(context.Background())
+			c.logf("%s has number %d", name, number)
+		}
+	})
+}
+
+// Guards against a configuration or assignment that is lost when every VM
+// restarts.
+func TestSessionRestartOfAllVMs(t *testing.T) {
+	session(t, "restart_of_all_vms", func(c *cluster) {
+		for i := range 300 {
+			text := smallText + strings.Repeat("# change\n", i%7+1)
+			if i == 299 {
+				text = strings.Replace(smallText, "slots: 6", "slots: 5", 1)
+			}
+			r, _, err := c.vms["lj-1"].ChangeConfig(context.Background(), c.number, []byte(text))
+			if err != nil || !r.Accepted {
+				c.t.Fatalf("change %d: %+v %v", i, r, err)
+			}
+			c.number = r.Number
+		}
+		c.logf("300 changes accepted, number %d", c.number)
+		before := c.ownersOf("kp-1")
+		for _, name := range allVMs() {
+			c.killVM(name)
+		}
+		c.logf("all VMs killed and started again")
+		for _, name := range allVMs() {
+			c.startVM(name)
+		}
+		c.waitReady()
+		number, content, _ := c.vms["mb-2"].Config(context.Background())
+		c.logf("number %d, last text in force: %v", number, strings.Contains(string(content), "slots: 5"))
+		after := c.ownersOf("kp-1")
+		same := true
+		for id, n := range before {
+			same = same && after[id] == n
+		}
+		c.logf("owners unchanged: %v", same)
+	})
+}
+
+// Guards against a request that takes down one target after another when its
+// caller sends it again, and against refusing others of the same tenant.
+func TestSessionCrashingRequest(t *testing.T) {
+	session(t, "crashing_request", func(c *cluster) {
+		crashes := 0
+		for i := range 10 {
+			q := call{
+				via: allVMs()[i%5], method: http.MethodGet, service: "ledger", tenant: "club-celje", key: "member-a",
+				header: map[string]string{standin.HeaderCrash: "1"},
+			}
+			a := c.do(q)
+			if a.kind == "known_crasher" {
+				continue
+			}
+			crashes++
+			time.Sleep(2 * time.Second)
+		}
+		c.logf("of ten sends, refused as known crasher: %v", crashes <= 3)
+		for _, target := range c.targets {
+			target.Restart()
+		}
+		time.Sleep(3 * time.Second)
+		c.get("lj-1", "ledger", "club-celje", "member-b")
+	})
+}
+
+// Guards against a second owner while a target that does not check grants is
+// frozen: its keys wait until it answers again.
+func TestSessionOwnerWithoutChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startSmall(t, func(cfg *standin.Config) { cfg.IgnoreGrants = true })
+		defer c.close()
+		key := c.ownedBy("kp-1", "club-celje", "ledger-lj")
+		c.targets["ledger-lj"].Freeze(5 * time.Second)
+		c.logf("owner that does not check grants is frozen for 5 s")
+		time.Sleep(3 * time.Second)
+		a := c.do(call{via: "kp-1", method: http.MethodGet, service: "ledger", tenant: "club-celje", key: key})
+		c.logf("read after 3 s -> %s", brief(a))
+		c.eventually(10*time.Second, "key served again", func() bool { return c.owner("kp-1", "ledger", "club-celje", key) != "" })
+		c.logf("after the thaw the key is served by %s", c.owner("kp-1", "ledger", "club-celje", key))
+		goldie.New(t).Assert(t, "owner_without_checks", c.out.Bytes())
+	})
+}
--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -48,7 +48,9 @@
 	store     *storage.Store
 	recovered storage.Recovered
 	// formed says that storage held a log, so that its membership is known.
-	formed  bool
+	formed bool
+	// initial is the membership with which the log began, if known.
+	initial *consensus.Membership
 	replica *consensus.Node
 	failed  bool
 	// storageFailed mirrors failed for readers outside the control goroutine.
--- a/internal/vm/replica.go
+++ b/internal/vm/replica.go
@@ -54,19 +54,15 @@
 }
 
 // replicaInfo answers a probe: who this replica is and, once it takes part in
-// a log, which members it knows.
+// a log, with which membership the log began, as far as that is still known.
 type replicaInfo struct {
-	ReplicaID  string                `msgpack:"r"`
-	Membership *consensus.Membership `msgpack:"m"`
+	ReplicaID string                `msgpack:"r"`
+	Started   bool                  `msgpack:"s"`
+	Initial   *consensus.Membership `msgpack:"m"`
 }
 
 func (l *loop) describeReplica() replicaInfo {
-	info := replicaInfo{ReplicaID: l.replicaID}
-	if l.replica != nil {
-		m := l.replica.Membership()
-		info.Membership = &m
-	}
-	return info
+	return replicaInfo{ReplicaID: l.replicaID, Started: l.replica != nil, Initial: l.initial}
 }
 
 // formReplica starts the replica: at once from a log, else by adopting the
@@ -103,8 +99,8 @@
 		if err != nil || info.ReplicaID == "" {
 			continue
 		}
-		if info.Membership != nil {
-			return l.joinable(*info.Membership), true
+		if info.Started {
+			return l.joinable(info.Initial), true
 		}
 		fresh = append(fresh, info.ReplicaID)
 	}
@@ -118,11 +114,12 @@
 	return consensus.Membership{Voters: fresh}, true
 }
 
-// joinable returns the membership to start with: the known one if this replica
-// is a member, else none; the leader then adds it as a learner.
-func (l *loop) joinable(m consensus.Membership) consensus.Membership {
-	if slices.Contains(m.Voters, l.replicaID) || slices.Contains(m.Learners, l.replicaID) {
-		return m
+// joinable returns the membership to start with: the one that the log began
+// with if this replica is part of it, else none. Without a membership the
+// replica waits until a leader adds it as a learner.
+func (l *loop) joinable(initial *consensus.Membership) consensus.Membership {
+	if initial != nil && slices.Contains(initial.Voters, l.replicaID) {
+		return *initial
 	}
 	return consensus.Membership{}
 }
@@ -139,19 +136,25 @@
 }
 
 // startReplica starts the replica from what storage recovered. initial is the
-// membership of a replica whose storage holds no log.
+// membership with which a replica without a log begins it.
 func (l *loop) startReplica(initial consensus.Membership) {
-	l.keepMembership(initial)
+	if err := l.beginLog(initial); err != nil {
+		l.fail(err, "initial log cannot be saved")
+		return
+	}
 	r := l.recovered
 	replica, err := consensus.New(consensus.Config{
 		ID: l.replicaID, HeartbeatInterval: replicaHeartbeat,
 		ElectionMin: electionMin, ElectionMax: electionMax, LeaderLease: leaderLease,
 		Seed: l.v.cfg.Seed, MaxAppendBytes: maxAppendBytes,
-	}, initial, r.HardState, r.Snapshot, r.Entries)
+	}, consensus.Membership{}, r.HardState, r.Snapshot, r.Entries)
 	if err != nil {
 		l.fail(err, "replica cannot start")
 		return
 	}
+	if m, ok := consensus.InitialMembership(r.Entries); ok {
+		l.initial = &m
+	}
 	if r.Snapshot != nil {
 		l.installSnapshot(*r.Snapshot)
 	}
@@ -160,15 +163,21 @@
 	l.logger.WithFields(log.Fields{"replica": l.replicaID, "voters": len(replica.Membership().Voters)}).Info("replica started")
 }
 
-// keepMembership saves the initial membership as a snapshot at index 0, so
-// that a restart before the first snapshot knows it.
-func (l *loop) keepMembership(m consensus.Membership) {
-	if len(m.Voters) == 0 || l.formed {
-		return
+// beginLog saves the first entry of a new log, so that a restart knows the
+// membership.
+func (l *loop) beginLog(initial consensus.Membership) error {
+	if l.formed || len(initial.Voters) == 0 {
+		return nil
 	}
-	if err := l.store.SaveSnapshot(consensus.Snapshot{Membership: m}); err != nil {
-		l.fail(err, "initial membership cannot be saved")
+	hs, entries, err := consensus.InitialLog(initial)
+	if err != nil {
+		return err
+	}
+	if err := l.store.Save(&hs, entries); err != nil {
+		return err
 	}
+	l.recovered.HardState, l.recovered.Entries = hs, entries
+	return nil
 }
 
 // reconcileMembership brings the members in line with the voters of the
