--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -69,7 +69,8 @@
 		return
 	}
 	if reason := t.revoke(run, req); reason != "" {
-		refuse(w, reason)
+		w.Header().Set(target.HeaderErrorKind, reason)
+		writeJSON(w, http.StatusConflict, target.RevokeReply{Incarnation: run.number})
 		return
 	}
 	if run.isCrashed() || t.awake(r.Context(), run) != nil {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -210,3 +211,55 @@
 		t.Error(reason)
 	}
 }
+
+// A target that stays with a lost VM would never be known again: it must go on
+// to the next VM, and report a change of its state.
+func TestAnnouncesToAnotherVM(t *testing.T) {
+	got := make(chan target.Announcement, 100)
+	vm := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var a target.Announcement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		got <- a
+	}))
+	defer vm.Close()
+	to := start(t, func(c *Config) {
+		c.Announce = []string{"http://127.0.0.1:1", vm.URL}
+		c.AnnounceInterval = time.Minute
+	})
+	first := <-got
+	if first.Address != to.Addr() || first.Incarnation != 7 || !first.ChecksGrants || first.State != stateWarm {
+		t.Errorf("%+v", first)
+	}
+	to.Drain(time.Minute)
+	if next := <-got; next.State != stateDraining {
+		t.Errorf("%+v", next)
+	}
+}
+
+// Load reports must lag and stop as configured, and a silent cold turn must
+// not show in the state: tests of stragglers rely on misleading reports.
+func TestMisleadingReports(t *testing.T) {
+	to := start(t, func(c *Config) {
+		c.LoadLag = 100 * time.Millisecond
+		c.ColdRequests = 1
+		c.ServiceTime = time.Millisecond
+	})
+	rep := grant(t, to, 1, 1, contract.TargetGrant)
+	if rep.State != stateCold {
+		t.Error(rep.State)
+	}
+	send(t, to, "GET", "/", 1, 1, nil)
+	if rep = grant(t, to, 1, 1, contract.TargetGrant); rep.State != stateWarm || rep.Load.WarmKeys != 0 {
+		t.Errorf("without lag: %+v", rep)
+	}
+	time.Sleep(150 * time.Millisecond)
+	if rep = grant(t, to, 1, 1, contract.TargetGrant); rep.Load.WarmKeys != 1 {
+		t.Errorf("%+v", rep)
+	}
+	to.StopLoad(true)
+	to.TurnCold(true)
+	time.Sleep(150 * time.Millisecond)
+	if rep = grant(t, to, 1, 1, contract.TargetGrant); rep.State != stateWarm || rep.Load.WarmKeys != 1 {
+		t.Errorf("%+v", rep)
+	}
+}
