Test the settings and the stop of the stand-in program

Nothing checked that cmd/standin reports all faults of its settings at once with exit code 2, or that a stop signal drains the target and ends with 0.

--- /dev/null
+++ b/cmd/standin/main_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// A program that reports one fault at a time makes its operator start it again
+// and again; one that starts with faulty settings hides them.
+func TestSettingsReportAllFaults(t *testing.T) {
+	t.Setenv("FLAMINGOREEL_STANDIN_JITTER", "-1")
+	var out bytes.Buffer
+	args := "standin --addr here --announce ftp://x,http://127.0.0.1:1 --slots 0 --announce-interval 0s --load-lag -1s"
+	if code := run(context.Background(), strings.Fields(args), &out); code != exitSettings {
+		t.Errorf("exit code %d", code)
+	}
+	goldie.New(t).Assert(t, "faults", out.Bytes())
+}
+
+// A stop signal must drain the target and end with code 0.
+func TestStopDrains(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var out bytes.Buffer
+	args := "standin --id ledger-1 --service ledger --data-centre lj-a --drain-grace 0s"
+	if code := run(ctx, strings.Fields(args), &out); code != exitOK || !strings.Contains(out.String(), "target stopped") {
+		t.Errorf("exit code %d, %s", code, out.String())
+	}
+}
