--- a/internal/record/session_test.go
+++ b/internal/record/session_test.go
@@ -236,6 +236,7 @@
 		s.sent.HolderSets = [][]string{s.names[:3]}
 		r := s.send("d1")
 		s.sent.HolderSets = [][]string{s.names[3:], s.names[:3]}
+		s.fenced = true
 		s.send("d2")
 		s.finish(r, "posted")
 		s.send("d2")
