Measure the choice of targets while some are slowed

The choice among targets of any services had no figures. Equal targets are now taken in random order; before, the first of two always got the request.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -193,11 +193,9 @@
 	return kind
 }
 
-// sample returns up to n different random candidates.
+// sample returns up to n different random candidates in random order.
 func (s *Selector) sample(from []Candidate, n int) []Candidate {
-	if len(from) <= n {
-		return from
-	}
+	n = min(n, len(from))
 	for i := range n {
 		j := i + s.rng.IntN(len(from)-i)
 		from[i], from[j] = from[j], from[i]
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// Guards against choices by less than the Selector knows: requests in flight,
+// how long the oldest has been, and failures, which may be faster than answers.
+func TestChoiceUsesOwnMeasurements(t *testing.T) {
+	cases := []struct {
+		name string
+		// spoil makes t1 the worse of two targets with equal latencies.
+		spoil func(s *Selector)
+	}{
+		{"more in flight", func(s *Selector) { s.Started("t1") }},
+		{"old request in flight", func(s *Selector) {
+			s.Started("t1")
+			s.Pick(10*time.Millisecond, targets(2), "")
+			s.Started("t0")
+			s.Started("t0")
+		}},
+		{"fails fast", func(s *Selector) { s.Done(0, "t1", time.Microsecond, false) }},
+		{"cancelled late", func(s *Selector) { s.Cancelled(0, "t1", 20*time.Millisecond) }},
+	}
+	for _, tc := range cases {
+		s, all := NewSelector(1), targets(2)
+		for range 100 {
+			s.Done(0, "t0", time.Millisecond, true)
+			s.Done(0, "t1", time.Millisecond, true)
+		}
+		tc.spoil(s)
+		for range 20 {
+			if c, _ := s.Pick(s.now, all, ""); c.Target != "t0" {
+				t.Errorf("%s: the worse target was picked", tc.name)
+				break
+			}
+		}
+	}
+}
+
 // Guards against billed traffic between regions while local targets are idle,
 // and against staying local when they are overloaded.
 func TestLocalFirst(t *testing.T) {
@@ -165,3 +199,14 @@
 		check("hedge fails", true, sleep(50*time.Millisecond, 0, true), false, 50*time.Millisecond, 0)
 	})
 }
+
+// BenchmarkPick measures one choice among the targets of a service.
+func BenchmarkPick(b *testing.B) {
+	s, all := NewSelector(1), targets(12)
+	b.ReportAllocs()
+	for now := time.Duration(0); b.Loop(); now += time.Millisecond {
+		c, _ := s.Pick(now, all, "")
+		s.Started(c.Target)
+		s.Done(now, c.Target, time.Millisecond, true)
+	}
+}
