--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -52,6 +52,7 @@
 }
 
 func newConn(n *Node, p *peer, nc net.Conn, dialed bool) *conn {
+	boundUnsent(nc)
 	return &conn{
 		node: n, peer: p, nc: nc, dialed: dialed,
 		wake:    make(chan struct{}, 1),
--- a/internal/link/incoming.go
+++ b/internal/link/incoming.go
@@ -22,10 +22,8 @@
 }
 
 func newIncoming(stream uint64, class Class, total uint64) *incoming {
-	first := min(total, ChunkSize)
 	return &incoming{
-		stream: stream, class: class, total: total, granted: first,
-		buf:    make([]byte, 0, first),
+		stream: stream, class: class, total: total, granted: min(total, ChunkSize),
 		digest: xxhash.New(),
 	}
 }
@@ -43,6 +41,9 @@
 	if offset != have {
 		return fmt.Errorf("%w: data at %d, expected %d", errOutOfState, offset, have)
 	}
+	if m.buf == nil {
+		m.buf = make([]byte, 0, min(m.total, ChunkSize))
+	}
 	m.buf = append(m.buf, body...)
 	_, _ = m.digest.Write(body)
 	return nil
@@ -81,13 +82,10 @@
 	var admitted []*incoming
 	for len(b.queue) > 0 {
 		m := b.queue[0]
-		if m.waiting && b.used > 0 && b.used+m.total > b.limit {
+		if b.used > 0 && b.used+m.total > b.limit {
 			break
 		}
 		b.queue = b.queue[1:]
-		if !m.waiting {
-			continue
-		}
 		m.waiting = false
 		m.reserved = true
 		b.used += m.total
@@ -99,7 +97,11 @@
 
 // end gives back the room of a message that was received or given up.
 func (b *budget) end(m *incoming) {
-	m.waiting = false
+	if m.waiting {
+		m.waiting = false
+		i := slices.Index(b.queue, m)
+		b.queue = slices.Delete(b.queue, i, i+1)
+	}
 	if m.reserved {
 		m.reserved = false
 		b.used -= m.total
