Bound decoding by the data and test storage against crashes

The msgpack decoder allocates a slice of structs by its announced length alone: a record of eight bytes exhausted the memory in the fuzz target.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -130,7 +130,7 @@
 // DecodeMembership returns the membership that an EntryMembership carries.
 func DecodeMembership(e Entry) (Membership, error) {
 	var m Membership
-	if err := msgpack.Unmarshal(e.Data, &m); err != nil {
+	if err := Unmarshal(e.Data, &m); err != nil {
 		return Membership{}, errkind.Wrap(errkind.Internal, err, "decode membership at index %d", e.Index)
 	}
 	if fault := m.checkShape(); fault != nil {
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"testing"
@@ -216,3 +217,19 @@
 		b.Fatalf("commit %d of %d", leader.CommitIndex(), leader.log.last())
 	}
 }
+
+// Guards against a message from a peer that announces more entries than it
+// holds and so makes the decoder allocate without bound.
+func TestDecodeMessage(t *testing.T) {
+	m := Message{Type: MsgAppend, From: "a/0", To: "b/0", Entries: []Entry{command(1, 1)}, Snapshot: &Snapshot{Membership: abc}}
+	data, err := EncodeMessage(m)
+	if back, err2 := DecodeMessage(data); err != nil || err2 != nil || fmt.Sprint(back.Entries, *back.Snapshot) != fmt.Sprint(m.Entries, *m.Snapshot) {
+		t.Fatalf("%+v became %+v: %v %v", m, back, err, err2)
+	}
+	deep := append([]byte("\x81\xa1x"), bytes.Repeat([]byte{0x91}, 1<<20)...)
+	for _, bad := range [][]byte{nil, data[:len(data)-1], append(data, 0), []byte("\x81\xa1e\xdd\xff\xff\xff\xff"), deep} {
+		if _, err := DecodeMessage(bad); err == nil {
+			t.Errorf("accepted %.20x", bad)
+		}
+	}
+}
--- a/internal/consensus/session_test.go
+++ b/internal/consensus/session_test.go
@@ -203,3 +203,26 @@
 		s.propose(1)
 	})
 }
+
+// Guards against a second lease when a follower that hears nothing from the
+// leader seeks votes from one that does, or that did before it restarted.
+func TestSessionDeafFollower(t *testing.T) {
+	play(t, newSim(11, "a/0", "b/0", "c/0"), func(s *sim) {
+		s.propose(1)
+		first := s.holder()
+		others := without(s.initial.Voters, first.id)
+		deaf, hearing := s.get(others[0]), s.get(others[1])
+		s.deaf[first.id+">"+deaf.id] = s.now + time.Minute
+		s.note("%s hears nothing from %s", deaf.id, first.id)
+		s.run(10 * time.Second)
+		for deaf.node.electionDeadline > s.local(deaf)+TickInterval {
+			s.step()
+		}
+		s.cut[first.id] = true
+		s.crash(hearing)
+		s.start(hearing)
+		s.note("%s restarted, %s cut off", hearing.id, first.id)
+		s.run(time.Second)
+		s.propose(1)
+	})
+}
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -113,7 +113,7 @@
 		return record{}, 0, err
 	}
 	var r record
-	if err := msgpack.Unmarshal(payload, &r); err != nil {
+	if err := consensus.Unmarshal(payload, &r); err != nil {
 		return record{}, 0, errDamagedFrame
 	}
 	return r, length, nil
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -31,7 +31,7 @@
 
 // OpenOn is Open on another file system.
 func OpenOn(fs FileSystem, dir string) (*Store, Recovered, error) {
-	s := &Store{fs: fs, dir: dir}
+	s := &Store{fs: fs, dir: dir, segmentLimit: segmentBytes}
 	if err := fs.MakeDir(dir); err != nil {
 		return nil, Recovered{}, diskFailed(err, "create %s", dir)
 	}
@@ -147,9 +147,6 @@
 	if found.identity && len(found.segments) == 0 {
 		return &DamageError{File: s.path(segmentName(1)), Reason: "the directory has an identity but no log"}
 	}
-	if !found.identity && (len(found.snapshots) > 0 || len(found.segments) > 1) {
-		return &DamageError{File: s.path(identityName), Reason: "the directory has a log but no identity"}
-	}
 	for i := 1; i < len(found.segments); i++ {
 		if missing := found.segments[i-1] + 1; found.segments[i] != missing {
 			return &DamageError{File: s.path(segmentName(missing)), Reason: "the segment is missing"}
@@ -161,7 +158,8 @@
 // checkLog refuses a log without the snapshot or the segments it builds on.
 func (s *Store) checkLog(log *replay, snap *consensus.Snapshot) error {
 	file := s.path(segmentName(s.segments[0].number))
-	if s.replicaID == "" && (len(log.entries) > 0 || log.hardState != consensus.HardState{}) {
+	empty := snap == nil && len(log.entries) == 0 && log.hardState == consensus.HardState{}
+	if s.replicaID == "" && !empty {
 		return &DamageError{File: s.path(identityName), Reason: "the directory has a log but no identity"}
 	}
 	if snap == nil && (log.floor.Index > 0 || s.segments[0].number > 1) {
--- a/internal/storage/segment.go
+++ b/internal/storage/segment.go
@@ -9,9 +9,8 @@
 const (
 	segmentMagic       = "FLRLOG01"
 	segmentHeaderBytes = 16
-	// segmentBytes is the size after which a Save begins another segment.
-	segmentBytes  = 4 << 20
-	segmentFormat = "log-%016x.wal"
+	segmentBytes       = 4 << 20
+	segmentFormat      = "log-%016x.wal"
 )
 
 // segment is one file of the log.
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -45,7 +45,7 @@
 		err = errDamagedFrame
 	}
 	if err == nil {
-		err = msgpack.Unmarshal(payload, &snap)
+		err = consensus.Unmarshal(payload, &snap)
 	}
 	if err != nil {
 		return snap, &DamageError{File: path, Reason: err.Error()}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -33,6 +33,8 @@
 	segments []segment
 	file     File
 	size     int
+	// segmentLimit is the size after which a Save begins another segment.
+	segmentLimit int
 
 	// failed is the first write error; it stays until the Store is reopened.
 	failed error
@@ -63,7 +65,7 @@
 	if err := s.writable(); err != nil {
 		return err
 	}
-	if s.size >= segmentBytes {
+	if s.size >= s.segmentLimit {
 		if err := s.rotate(record{}); err != nil {
 			return s.latch(err)
 		}
