--- /dev/null
+++ b/internal/control/planner_test.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/contract"
+)
+
+// Guards against a new leader that replaces a dispatcher which may still act
+// under a lease of the former leader.
+func TestNewLeaderWaitsForOldLeases(t *testing.T) {
+	s := smallState(t)
+	applyAll(t, s, Command{RegisterVM: &VM{Name: "x", DataCentre: "n2", Incarnation: 1}})
+	p := NewPlanner("x")
+	p.Elected(time.Second)
+	for now := time.Second; now < 3*time.Second; now += 10 * time.Millisecond {
+		p.Heartbeat(now, Heartbeat{VM: s.vms["x"], SentAt: now})
+		if i := slices.IndexFunc(p.Plan(now, s), func(c Command) bool { return c.SetDispatch != nil }); i >= 0 {
+			if waited := now - time.Second; waited < contract.ElectedWait || waited > contract.ElectedWait+20*time.Millisecond {
+				t.Fatalf("the dispatcher was replaced %v after the election", waited)
+			}
+			return
+		}
+	}
+	t.Fatal("the dispatcher was not replaced")
+}
+
+// Guards against a late heartbeat of a VM's former process that renews a lease
+// or hides the new process.
+func TestOlderIncarnationIsIgnored(t *testing.T) {
+	s := smallState(t)
+	p := NewPlanner("w")
+	p.Elected(0)
+	v := s.vms["v"]
+	p.Heartbeat(time.Second, Heartbeat{VM: v, SentAt: 5})
+	older := v
+	older.Incarnation = 1
+	p.Heartbeat(time.Second+contract.VMLease, Heartbeat{VM: older, SentAt: 9})
+	p.Heartbeat(time.Second+contract.VMLease, Heartbeat{VM: v, SentAt: 4})
+	if p.vms["v"].leaseUntil != time.Second+contract.VMLease || p.CurrentIncarnation(s, older) || !p.CurrentIncarnation(s, v) {
+		t.Fatal("a heartbeat of an older process, or one that was overtaken, renewed the lease")
+	}
+}
+
+// Guards against hot hashes that stay with other keys, and against slices that
+// are not joined again when the hashes cool down.
+func TestHotHashGetsItsOwnSlice(t *testing.T) {
+	s := newSession(1, true)
+	entry := s.state.slices[3]
+	hash := entry.Slice.Lo + 1000
+	hot := s.target(entry.Assignment.Target)
+	hot.hot = hash
+	s.run(5 * time.Second)
+	alone := slices.IndexFunc(s.state.Table().Assignments(), func(e ContractSlice) bool {
+		return e.Slice.Lo == hash && e.Slice.Hi == hash
+	})
+	if alone < 0 {
+		t.Fatal("the hot hash has no slice of its own")
+	}
+	hot.hot = 0
+	s.run(2 * hotAge)
+	if n := len(s.state.Table().Assignments()); n != 12 {
+		t.Errorf("%d slices remain after the hash cooled down, want 12", n)
+	}
+	s.checkGroups()
+	if len(s.faults) > 0 {
+		t.Error(strings.Join(s.faults, "\n"))
+	}
+}
+
+// Guards against moves whose cost exceeds their gain by the weights.
+func TestWeightsDecideOnMoves(t *testing.T) {
+	for churn, want := range map[string]bool{"1": true, "1000": false} {
+		s := newSession(1, true)
+		text := strings.Replace(simText, "slots: 6", "slots: 6, weights: {churn: "+churn+"}", 1)
+		s.change(1, strings.Replace(text, "n1, state: in", "n1, state: out", 1))
+		s.run(4 * time.Second)
+		s.change(2, text)
+		s.moves = 0
+		s.run(5 * time.Second)
+		if (s.moves > 0) != want {
+			t.Errorf("%d moves to the data centre that returned with churn weight %s", s.moves, churn)
+		}
+	}
+}
+
+// Guards against a dependency that is drained before its dependants.
+func TestDependantsDrainFirst(t *testing.T) {
+	s := newSites(1, true)
+	for i, dc := range []string{"n1", "n2", "s1"} {
+		s.addTarget(fmt.Sprintf("r%d", i), "reporting", dc, true)
+	}
+	text := strings.Replace(simText, "tenants:", "- {name: reporting, ownership: exclusive, slices: 6, endpoints: 3, slots: 6, "+
+		"depends_on: [{service: ledger, required: true}]}\ntenants:", 1)
+	s.change(0, text)
+	s.run(3 * time.Second)
+	var drained []string
+	s.onApply = func(c Command, _ any) {
+		if c.Drain != nil {
+			drained = append(drained, s.state.slices[c.Drain.Slice].Slice.Service)
+		}
+	}
+	s.change(1, strings.Replace(text, "n1, state: in", "n1, state: out", 1))
+	s.run(5 * time.Second)
+	sorted := slices.Clone(drained)
+	slices.Sort(sorted)
+	slices.Reverse(sorted)
+	if len(drained) != 6 || !slices.Equal(sorted, drained) {
+		t.Errorf("drained %v", drained)
+	}
+}
+
+// Guards against slices of home regions on targets elsewhere, even when no
+// target of the home regions is left.
+func TestResidencyIsKept(t *testing.T) {
+	s := newSites(1, true)
+	text := strings.Replace(simText, "share: 1}", "share: 1}\n- {name: local, home_regions: [north]}", 1)
+	s.change(0, text)
+	s.run(2 * time.Second)
+	check := func(served bool) {
+		t.Helper()
+		for _, e := range s.state.Table().Assignments() {
+			if e.Slice.Residency != "north" {
+				continue
+			}
+			owner := s.state.targets[e.Assignment.Target]
+			if served != s.served(e) || (owner.ID != "" && s.state.layout.regionOf[owner.DataCentre] != "north") {
+				t.Fatalf("slice %d of the north is at %q", e.Slice.ID, owner.ID)
+			}
+		}
+	}
+	check(true)
+	out := strings.NewReplacer("n1, state: in", "n1, state: out", "n2, state: in", "n2, state: out")
+	s.change(1, out.Replace(text))
+	s.run(3 * time.Second)
+	check(false)
+	s.change(2, text)
+	s.run(3 * time.Second)
+	check(true)
+}
+
+// Guards against held slices that wait for a target that operators retired,
+// and against retired targets and VMs that stay registered.
+func TestRetiredTargetGivesUpHeldSlices(t *testing.T) {
+	s := newSession(1, false)
+	s.targets[0].dead, s.vms[0].dead = true, true
+	s.run(3 * time.Second)
+	if len(s.outage) != 2 {
+		t.Fatalf("%d slices are without service, want the 2 held ones", len(s.outage))
+	}
+	s.change(1, simText+"retired_targets: [t1]\nretired_vms: [vm1]\n")
+	s.run(time.Second)
+	if len(s.outage) != 0 {
+		t.Errorf("%d slices wait for a retired target", len(s.outage))
+	}
+	s.run(removeAfter + 2*time.Second)
+	if _, ok := s.state.targets["t1"]; ok || len(s.state.vms) != 5 {
+		t.Error("a retired target or VM is still registered")
+	}
+}
+
+// Guards against more moves per second than the text allows.
+func TestMovesAreBounded(t *testing.T) {
+	s := newSession(1, true)
+	text := strings.Replace(simText, "slots: 6", "slots: 6, max_moves_per_second: 1", 1)
+	s.change(1, strings.Replace(text, "n1, state: in", "n1, state: out", 1))
+	s.run(2500 * time.Millisecond)
+	if s.moves > 3 {
+		t.Errorf("%d moves within 2.5 s, at most 1 per second is allowed", s.moves)
+	}
+	s.run(3 * time.Second)
+	if s.moves != 4 {
+		t.Errorf("%d moves, want 4", s.moves)
+	}
+}
+
+// Guards against a cold target that receives the share of a warm one.
+func TestColdTargetGetsFewerSlices(t *testing.T) {
+	s := newSites(1, true)
+	s.targets[0].State = Cold
+	s.announce(s.targets[0])
+	s.change(0, simText)
+	s.run(3 * time.Second)
+	owned := func() int { return len(s.planner.modelOf(s.state).owned["t1"]) }
+	if owned() > 1 {
+		t.Errorf("the cold target owns %d slices, a warm one has 2", owned())
+	}
+	s.targets[0].State = Warm
+	s.run(3 * time.Second)
+	if owned() != 2 {
+		t.Errorf("the target owns %d slices after it turned warm, want 2", owned())
+	}
+}
+
+// Guards against sets of record holders that are dropped while records of
+// their time may be needed, or that are kept for ever.
+func TestHolderSetsAreForgottenAfterRetention(t *testing.T) {
+	s := newSites(1, true)
+	s.change(0, strings.Replace(simText, "name: test", "name: test\nrecord_retention: 10s", 1))
+	s.run(time.Second)
+	s.addVM("vm7", "s1", "south")
+	s.run(holderAllowance)
+	if len(s.state.holders) < 2 {
+		t.Fatal("earlier record holders were forgotten within the retention")
+	}
+	s.run(15 * time.Second)
+	if sets := s.state.Table().HolderSets(""); len(sets) != 1 || len(sets[0]) != 7 {
+		t.Errorf("sets of record holders %v", sets)
+	}
+}
--- a/internal/control/session_test.go
+++ b/internal/control/session_test.go
@@ -28,6 +28,16 @@
 // newSession returns a simulation with VMs in three data centres and six
 // targets of the ledger, after the first placement.
 func newSession(seed uint64, checks bool) *sim {
+	s := newSites(seed, checks)
+	s.run(50 * time.Millisecond)
+	s.change(0, simText)
+	s.run(2 * time.Second)
+	s.unserved, s.longest, s.moves = 0, 0, 0
+	return s
+}
+
+// newSites returns a simulation without a text.
+func newSites(seed uint64, checks bool) *sim {
 	s := newSim(seed)
 	dcs := []string{"n1", "n1", "n2", "n2", "s1", "s1"}
 	regions := map[string]string{"n1": "north", "n2": "north", "s1": "south"}
@@ -37,10 +47,6 @@
 	for i, dc := range dcs {
 		s.addTarget(fmt.Sprintf("t%d", i+1), "ledger", dc, checks || i > 0)
 	}
-	s.run(50 * time.Millisecond)
-	s.propose(Command{ChangeConfig: &ChangeConfig{Text: []byte(simText)}}, nil)
-	s.run(2 * time.Second)
-	s.unserved, s.longest, s.moves = 0, 0, 0
 	return s
 }
 
--- a/internal/control/sim_fakes_test.go
+++ b/internal/control/sim_fakes_test.go
@@ -133,12 +133,7 @@
 		return
 	}
 	s.planner.Heartbeat(s.now, hb)
-	var commands []IndexedCommand
-	for _, e := range s.log {
-		if e.Index > hb.Version {
-			commands = append(commands, e)
-		}
-	}
+	commands := s.log[hb.Version:]
 	probes := s.planner.Probes(hb.VM.Name)
 	s.send(func() {
 		if !v.alive(s.now) || v.Incarnation != hb.VM.Incarnation || v.cutLeader {
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -31,7 +31,6 @@
 	index    uint64
 	uncommit []simProposal
 	planner  *Planner
-	policy   LossPolicy
 	electAt  time.Duration
 	events   []simEvent
 	vms      []*simVM
@@ -126,9 +125,6 @@
 			return
 		}
 		s.planner = NewPlanner("leader")
-		if s.policy != nil {
-			s.planner.SetLossPolicy(s.policy)
-		}
 		s.planner.Elected(s.now)
 	}
 	for len(s.uncommit) > 0 && s.uncommit[0].at <= s.now {
