--- a/internal/text/fields.go
+++ b/internal/text/fields.go
@@ -194,19 +194,14 @@
 
 func (d *decoder) tenant(n ast.Node) Tenant {
 	tenant := Tenant{Share: defaultShare}
-	home := n
 	d.mapping(n, "a tenant", []string{"name"}, fields{
 		"name": func(v ast.Node) {
 			tenant.Name = d.name(v, "tenant name", tenantPattern)
 			d.places.claim(d, v, "tenant", tenant.Name)
 		},
-		"home_regions": func(v ast.Node) {
-			home = v
-			tenant.HomeRegions = d.homeRegions(v)
-		},
-		"share": func(v ast.Node) { tenant.Share = d.integer(v, "share", 1, maxShare) },
+		"home_regions": func(v ast.Node) { tenant.HomeRegions = d.homeRegions(v) },
+		"share":        func(v ast.Node) { tenant.Share = d.integer(v, "share", 1, maxShare) },
 	})
-	d.places.tenantHomes = append(d.places.tenantHomes, home)
 	return tenant
 }
 
--- a/internal/text/kinds.go
+++ b/internal/text/kinds.go
@@ -32,8 +32,6 @@
 	UnknownRegion = "unknown_region"
 	// AllDataCentresOut: no data centre of the text may receive work.
 	AllDataCentresOut = "all_data_centres_out"
-	// NoHome: no home region of a tenant has a data centre that is in.
-	NoHome = "no_home"
 )
 
 // String returns the fault as "line:column: kind: message", without the place
--- a/internal/text/references.go
+++ b/internal/text/references.go
@@ -13,7 +13,6 @@
 	regions      ast.Node
 	dependencies []ast.Node
 	homes        []ast.Node
-	tenantHomes  []ast.Node
 }
 
 func newPlaces() places {
@@ -133,28 +132,18 @@
 }
 
 func (d *decoder) checkHomes(t *Text) {
-	in := map[string]bool{}
+	regions := map[string]bool{}
 	for _, r := range t.Regions {
-		in[r.Name] = r.anyIn()
+		regions[r.Name] = true
 	}
 	next := 0
-	for i, tenant := range t.Tenants {
-		usable, known := false, true
+	for _, tenant := range t.Tenants {
 		for _, home := range tenant.HomeRegions {
 			node := d.places.homes[next]
 			next++
-			if !namePattern.MatchString(home) {
-				known = false
-				continue
-			}
-			if _, ok := in[home]; !ok {
+			if namePattern.MatchString(home) && !regions[home] {
 				d.fault(node, UnknownRegion, "tenant %q has the home region %q, which is not a region of the text", tenant.Name, home)
-				known = false
 			}
-			usable = usable || in[home]
-		}
-		if len(tenant.HomeRegions) > 0 && known && !usable {
-			d.fault(d.places.tenantHomes[i], NoHome, "no home region of tenant %q has a data centre that is in", tenant.Name)
 		}
 	}
 }
