Await the answer of another attempt without a slot and check before sending

A resend held a target slot while it waited for the first attempt. Lease and deadline are checked again after the record was started. Clearings of crash suspects reach the other VMs.

--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -37,23 +37,78 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.crashes.Refused(d.cfg.Now(), j.fingerprint) {
-		return nil, errkind.New(errkind.KnownCrasher, "this request crashed two targets")
+	for {
+		slot, err := d.admit(ctx, j)
+		if err != nil {
+			return nil, err
+		}
+		if req.Idempotent() {
+			return d.runIdempotent(ctx, j, slot)
+		}
+		reply, err := d.runOnce(ctx, j, slot)
+		if err == nil || err.Kind != errkind.StartedElsewhere {
+			return reply, err
+		}
+		stored, err := d.await(ctx, j)
+		if err != nil || stored != nil {
+			return stored, err
+		}
 	}
-	j.alone = d.crashes.Alone(d.cfg.Now(), j.fingerprint)
-	slot, err := j.worker.gate.Acquire(ctx, d.ticket(ctx, j))
-	if err != nil {
-		return nil, err
+}
+
+// admit waits for a slot and counts the request in. Crash counts are looked at
+// again after the wait, because the crash may have happened meanwhile.
+func (d *Dispatcher) admit(ctx context.Context, j *job) (*dispatch.Slot, *errkind.Error) {
+	for {
+		if d.crashes.Refused(d.cfg.Now(), j.fingerprint) {
+			return nil, errkind.New(errkind.KnownCrasher, "this request crashed two targets")
+		}
+		j.alone = d.crashes.Alone(d.cfg.Now(), j.fingerprint)
+		slot, err := j.worker.gate.Acquire(ctx, d.ticket(ctx, j))
+		if err != nil {
+			return nil, err
+		}
+		now := d.cfg.Now()
+		if d.crashes.Refused(now, j.fingerprint) || d.crashes.Alone(now, j.fingerprint) != j.alone {
+			slot.Release(dispatch.Result{})
+			continue
+		}
+		d.metrics.observe(d.metrics.queue, j, now-j.arrived)
+		if err := j.worker.begin(j.req.Slice, j.req.Fence, j.hash); err != nil {
+			slot.Release(dispatch.Result{})
+			return nil, err
+		}
+		return slot, nil
 	}
-	d.metrics.observe(d.metrics.queue, j, d.cfg.Now()-j.arrived)
-	if err := j.worker.begin(req.Slice, req.Fence, j.hash); err != nil {
-		slot.Release(dispatch.Result{})
+}
+
+// answerMargin is the part of the remaining time that is left for the way back
+// when an answer of another attempt is awaited.
+const answerMargin = 10
+
+// await waits for the answer of another attempt without holding a slot. Both
+// results are nil when no other attempt can run any more.
+func (d *Dispatcher) await(ctx context.Context, j *job) (*relay.Reply, *errkind.Error) {
+	left := remaining(ctx, j.table)
+	ctx, cancel := context.WithTimeout(ctx, left-left/answerMargin)
+	defer cancel()
+	answer, err := d.cfg.Records.Await(ctx, j.record())
+	if err != nil || answer == nil {
 		return nil, err
 	}
-	if req.Idempotent() {
-		return d.runIdempotent(ctx, j, slot)
+	return storedReply(answer), nil
+}
+
+// record describes the request to the record holders.
+func (j *job) record() record.BeginRequest {
+	return record.BeginRequest{
+		ID:          j.req.ID(),
+		Fingerprint: j.fingerprint,
+		FirstSent:   j.req.FirstSent,
+		Retention:   j.table.Text().RecordRetention,
+		HolderSets:  j.table.HolderSets(j.req.Residency),
+		NoWait:      true,
 	}
-	return d.runOnce(ctx, j, slot)
 }
 
 // accept checks a request against the routing table of this VM.
@@ -129,13 +184,13 @@
 // request was sent it is not cancelled: the answer is awaited past the
 // deadline, so that a resend gets it from the record.
 func (d *Dispatcher) runOnce(ctx context.Context, j *job, slot *dispatch.Slot) (*relay.Reply, *errkind.Error) {
-	running, stored, err := d.cfg.Records.Begin(ctx, record.BeginRequest{
-		ID:          j.req.ID(),
-		Fingerprint: j.fingerprint,
-		FirstSent:   j.req.FirstSent,
-		Retention:   j.table.Text().RecordRetention,
-		HolderSets:  j.table.HolderSets(j.req.Residency),
-	})
+	running, stored, err := d.cfg.Records.Begin(ctx, j.record())
+	if err == nil && stored == nil {
+		err = d.maySend(ctx, j)
+		if err != nil {
+			running.Abort(context.WithoutCancel(ctx))
+		}
+	}
 	if err != nil || stored != nil {
 		j.worker.end(j.req.Slice)
 		slot.Release(dispatch.Result{})
@@ -144,12 +199,6 @@
 		}
 		return storedReply(stored), nil
 	}
-	if err := ctx.Err(); err != nil {
-		j.worker.end(j.req.Slice)
-		slot.Release(dispatch.Result{})
-		running.Abort(context.WithoutCancel(ctx))
-		return nil, errkind.New(errkind.QueueTimeout, "the deadline passed before the request was sent")
-	}
 	type result struct {
 		reply *relay.Reply
 		err   *errkind.Error
@@ -173,6 +222,16 @@
 	}
 }
 
+// maySend checks again, after the record was started, that the request may be
+// sent: storing the record took time in which the deadline or the lease of
+// this VM may have passed.
+func (d *Dispatcher) maySend(ctx context.Context, j *job) *errkind.Error {
+	if ctx.Err() != nil {
+		return errkind.New(errkind.QueueTimeout, "the deadline passed before the request was sent")
+	}
+	return j.worker.check(j.req.Slice, j.req.Fence)
+}
+
 // settle brings the record in line with what is known: an answer is stored, a
 // request that did not run is forgotten, anything else stays started.
 func (d *Dispatcher) settle(ctx context.Context, running *record.Running, reply *relay.Reply, err *errkind.Error) {
@@ -208,6 +267,7 @@
 	slot.Release(dispatch.Result{Latency: latency, OK: resp.Status < http.StatusInternalServerError})
 	if j.alone {
 		d.crashes.Clear(j.fingerprint)
+		d.shareSuspicions()
 	}
 	d.metrics.observe(d.metrics.service, j, latency)
 	return &relay.Reply{Status: resp.Status, Header: resp.Header, Body: resp.Body, Target: j.req.Target}, nil
@@ -217,10 +277,15 @@
 // before the request releases its slot, so that all requests in flight count.
 func (d *Dispatcher) suspect(j *job) {
 	d.crashes.Crash(d.cfg.Now(), j.req.Target, j.worker.incarnation(), j.worker.gate.InFlight())
+	d.shareSuspicions()
+	d.cfg.Logger.WithFields(fields(j)).Warn("target connection lost during request")
+}
+
+// shareSuspicions sends what is new about crashes to the other VMs.
+func (d *Dispatcher) shareSuspicions() {
 	if fresh := d.crashes.Drain(); len(fresh) > 0 && d.cfg.ShareSuspicions != nil {
 		d.cfg.ShareSuspicions(fresh)
 	}
-	d.cfg.Logger.WithFields(fields(j)).Warn("target connection lost during request")
 }
 
 // targetRequest adds the terms of the dispatch contract to the request.
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -42,7 +42,9 @@
 	revoking bool
 	stopped  bool
 	state    control.TargetState
-	hot      *hotKeys
+	// read says that the target answered a renewal.
+	read bool
+	hot  *hotKeys
 }
 
 func newWorker(d *Dispatcher, c control.Contract) *worker {
@@ -155,17 +157,18 @@
 	receivedAt := w.d.cfg.Now()
 
 	w.mu.Lock()
-	wasValid := w.renewer.Valid(receivedAt)
+	defer w.mu.Unlock()
 	if err != nil {
 		w.renewer.Failed(receivedAt)
-	} else {
-		w.renewer.Reply(sentAt, receivedAt, reply)
-		w.noteState(control.TargetState(reply.State))
+		return
 	}
-	isValid := w.renewer.Valid(receivedAt)
-	w.mu.Unlock()
-	if err == nil && reply.Accepted && !wasValid && !isValid {
-		// The first reply only carries a clock reading; the grant follows at once.
+	w.renewer.Reply(sentAt, receivedAt, reply)
+	w.noteState(control.TargetState(reply.State))
+	if !w.read && reply.Accepted {
+		// The first reply only carries a clock reading; the grant follows at
+		// once, and only this time: a target that grants nothing must not be
+		// asked without a pause.
+		w.read = true
 		w.renewSoon()
 	}
 }
@@ -202,24 +205,42 @@
 func (w *worker) begin(slice contract.SliceID, fence contract.Fence, hash uint64) *errkind.Error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err := w.mayWork(slice, fence); err != nil {
+		return err
+	}
+	w.inFlight[slice]++
+	w.total++
+	w.hot.add(hash)
+	return nil
+}
+
+// check reports whether a request that was counted in may be sent now.
+func (w *worker) check(slice contract.SliceID, fence contract.Fence) *errkind.Error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mayWork(slice, fence)
+}
+
+// mayWork reports whether work of the slice may be sent now. The caller holds
+// mu.
+func (w *worker) mayWork(slice contract.SliceID, fence contract.Fence) *errkind.Error {
+	now := w.d.cfg.Now()
 	if w.stopped || !w.d.cfg.LeaseValid() {
 		return errkind.New(errkind.StaleRoute, "this VM no longer dispatches target %s", w.contract.Target.ID)
 	}
-	if !w.renewer.Valid(w.d.cfg.Now()) {
+	if !w.renewer.Valid(now) {
 		return errkind.New(errkind.TargetUnreachable, "target %s has no valid grant", w.contract.Target.ID)
 	}
-	if slice != 0 {
-		a, ok := w.slices[slice]
-		if !ok || a.Fence != fence || a.Phase != contract.Owned {
-			return errkind.New(errkind.StaleRoute, "slice %d is not owned under fence %d", slice, fence)
-		}
-		if !w.renewer.Covers(w.d.cfg.Now(), slice, fence) {
-			return errkind.New(errkind.StaleRoute, "slice %d is not granted yet", slice)
-		}
+	if slice == 0 {
+		return nil
+	}
+	a, ok := w.slices[slice]
+	if !ok || a.Fence != fence || a.Phase != contract.Owned {
+		return errkind.New(errkind.StaleRoute, "slice %d is not owned under fence %d", slice, fence)
+	}
+	if !w.renewer.Covers(now, slice, fence) {
+		return errkind.New(errkind.StaleRoute, "slice %d is not granted yet", slice)
 	}
-	w.inFlight[slice]++
-	w.total++
-	w.hot.add(hash)
 	return nil
 }
 
--- a/internal/vm/metrics.go
+++ b/internal/vm/metrics.go
@@ -13,7 +13,7 @@
 
 	linkBytes, linkFrames, linkDropped, linkRefused, linkConnects, badFrames *prometheus.Desc
 	recordBytes, records, leaseValid, version, configNumber, contracts       *prometheus.Desc
-	storageFailed                                                            *prometheus.Desc
+	storageFailed, recordStarts                                              *prometheus.Desc
 }
 
 func describe(subsystem, name, help string, labels ...string) *prometheus.Desc {
@@ -35,6 +35,7 @@
 		badFrames:     describe("link", "closed_total", "Connections closed because of what the peer sent.", "reason"),
 		recordBytes:   describe("record", "bytes", "Memory accounted to request records."),
 		records:       describe("record", "entries", "Request records held."),
+		recordStarts:  describe("record", "starts_total", "Starts of requests by the answer of this holder.", "state"),
 		leaseValid:    describe("control", "lease_valid", "1 while this VM holds a valid lease."),
 		version:       describe("control", "version", "Index of the last applied command."),
 		configNumber:  describe("control", "config_number", "Number of the configuration in force."),
@@ -86,6 +87,9 @@
 func (c *collector) collectRecords(out chan<- prometheus.Metric, s record.Stats) {
 	out <- prometheus.MustNewConstMetric(c.recordBytes, prometheus.GaugeValue, float64(s.Bytes))
 	out <- prometheus.MustNewConstMetric(c.records, prometheus.GaugeValue, float64(s.Records))
+	for state, n := range s.Starts {
+		out <- prometheus.MustNewConstMetric(c.recordStarts, prometheus.CounterValue, float64(n), state.String())
+	}
 }
 
 func flag(b bool) float64 {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -118,6 +118,7 @@
 func (v *VM) buildTraffic() {
 	v.store = record.NewStore(time.Now().UnixMilli(), v.cfg.MaxRecordBytes)
 	v.records = record.NewCoordinator(v.cfg.Name, v.cfg.Incarnation, v.links)
+	v.records.SetFenced(v.replaced)
 	v.dispatcher = dispatcher.New(dispatcher.Config{
 		VM: v.cfg.Name, Incarnation: v.cfg.Incarnation, Region: v.cfg.Region,
 		Now: v.now, LeaseValid: v.LeaseValid, Table: v.Table, Records: v.records,
@@ -183,6 +184,12 @@
 	return v.dispatcher.Serve(ctx, req)
 }
 
+// replaced reports whether a later incarnation of the VM is registered.
+func (v *VM) replaced(name string, incarnation uint64) bool {
+	peer, ok := v.Table().VM(name)
+	return ok && peer.Incarnation > incarnation
+}
+
 // shareSuspicions sends crash suspicions to all other VMs.
 func (v *VM) shareSuspicions(s []dispatch.Suspicion) {
 	payload, err := relay.Encode(s)
@@ -209,6 +216,7 @@
 	for v.relays.Load() > 0 && pause(ctx, drainPoll) {
 	}
 	v.dispatcher.WaitBackground(ctx)
+	v.records.Wait(ctx)
 }
 
 // Stopping reports whether the VM is draining.
