Balance a service although some of its slices have no allowed target

Cause: a slice that waits for an owner stopped all balancing of its service, so a data centre that came back stayed idle while a tenant's home region had no target.

--- a/internal/control/plan_balance.go
+++ b/internal/control/plan_balance.go
@@ -38,10 +38,14 @@
 	}
 }
 
-// steady reports whether no slice of the service is without owner or moving.
+// steady reports whether no slice of the service is moving or waits for an
+// owner that it can have. Slices without any allowed target do not count.
 func (r *round) steady(service string) bool {
 	for _, entry := range r.model.unassigned {
-		if entry.Slice.Service == service {
+		if entry.Slice.Service != service {
+			continue
+		}
+		if _, ok := r.place(entry); ok {
 			return false
 		}
 	}
--- a/internal/control/planner_test.go
+++ b/internal/control/planner_test.go
@@ -212,3 +212,20 @@
 		t.Errorf("sets of record holders %v", sets)
 	}
 }
+
+// Guards against a data centre that stays idle after it returned, because a
+// tenant's home region has no target and its slices cannot be assigned.
+func TestUnservableSlicesDoNotStopBalancing(t *testing.T) {
+	s := newSites(1, true)
+	text := strings.Replace(simText, "- name: south", "- name: west\n  data_centres: [{name: w1}]\n- name: south", 1)
+	text = strings.Replace(text, "share: 1}", "share: 1}\n- {name: local, home_regions: [west]}", 1)
+	s.change(0, text)
+	s.run(2 * time.Second)
+	s.change(1, strings.Replace(text, "n1, state: in", "n1, state: out", 1))
+	s.run(3 * time.Second)
+	s.change(2, text)
+	s.run(5 * time.Second)
+	if owned := len(s.planner.modelOf(s.state).owned["t1"]); owned == 0 {
+		t.Error("the target of the returned data centre owns no slice")
+	}
+}
