Fail calls to a lost VM at once and shrink idle links

Calls waited for every dial of a VM that was lost, up to a second each. They now wait only for the first dial and for the one right after a break, and a dial ends after 500 ms. An idle connection kept about 130 KiB of buffers, too much for 800 VMs; it now keeps about 8 KiB and the frame in use.

TestCallsToALostVM fails when calls wait for a dial after a failed one.

--- a/internal/link/call_test.go
+++ b/internal/link/call_test.go
@@ -101,3 +101,28 @@
 		_ = b.Close()
 	})
 }
+
+// Guards against calls that wait for each dial of a VM that was lost.
+func TestCallsToALostVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork()
+		a, _ := Listen(Config{Cluster: "zdbs", Name: "a", Listener: net.listen("a"), Dial: net.dial, Seed: 1})
+		net.listen("b")
+		a.SetPeer("b", "b")
+		longest := time.Duration(0)
+		for i := range 20 {
+			began := time.Now()
+			if _, err := a.Call(t.Context(), "b", "echo", nil); kindOf(err) != errkind.LinkDown {
+				t.Errorf("got %v, want link_down", err)
+			}
+			if i > 0 {
+				longest = max(longest, time.Since(began))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if longest > 0 {
+			t.Errorf("a call after a failed dial waited %v", longest)
+		}
+		_ = a.Close()
+	})
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,6 +157,7 @@
 		case <-c.wake:
 		case <-ping.C:
 			c.ping()
+			e.shrink()
 		case <-c.done:
 			return
 		}
@@ -228,7 +230,7 @@
 // read handles frames until one is bad or the connection ends.
 func (c *conn) read(r *bufio.Reader) error {
 	d := newDecoder()
-	buf := make([]byte, maxFrame)
+	var buf []byte
 	for {
 		if err := c.nc.SetReadDeadline(time.Now().Add(DeadAfter)); err != nil {
 			return err
@@ -237,6 +239,7 @@
 		if err != nil {
 			return err
 		}
+		buf = body
 		f, err := d.decode(body)
 		if err != nil {
 			return err
@@ -247,20 +250,21 @@
 	}
 }
 
-// readFrame reads the bytes of one frame into buf.
+// readFrame reads the bytes of one frame, into buf if it is large enough.
 func readFrame(r io.Reader, buf []byte) ([]byte, error) {
 	var prefix [lengthPrefix]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
-	if size == 0 || size > uint32(len(buf)) {
+	if size == 0 || size > maxFrame {
 		return nil, fmt.Errorf("%w: %d bytes", errOversized, size)
 	}
-	if _, err := io.ReadFull(r, buf[:size]); err != nil {
+	buf = slices.Grow(buf[:0], int(size))[:size]
+	if _, err := io.ReadFull(r, buf); err != nil {
 		return nil, err
 	}
-	return buf[:size], nil
+	return buf, nil
 }
 
 // handle applies one frame. An error closes the connection.
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -125,6 +125,14 @@
 	return e
 }
 
+// shrink gives back the memory of a large batch, because a VM has a connection
+// to every other VM and most are idle.
+func (e *encoder) shrink() {
+	if e.buf.Cap() > idleBuffer {
+		e.buf = bytes.Buffer{}
+	}
+}
+
 // append adds one frame with its length prefix and returns its size in bytes.
 func (e *encoder) append(f *frame) int {
 	start := e.buf.Len()
--- a/internal/link/hello.go
+++ b/internal/link/hello.go
@@ -42,7 +42,7 @@
 
 // readHello reads and checks the other side's hello.
 func (n *Node) readHello(r *bufio.Reader) (from string, err error) {
-	body, err := readFrame(r, make([]byte, maxFrame))
+	body, err := readFrame(r, nil)
 	if err != nil {
 		return "", fmt.Errorf("%w: %v", errNoHello, err)
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -35,6 +35,10 @@
 	bufferBudget = 64 << 20
 	// batchSize is how much the writer collects for one write.
 	batchSize = 2 * ChunkSize
+	// readBuffer is the buffer between a connection and its decoder.
+	readBuffer = ChunkSize / 2
+	// idleBuffer is the write buffer that an idle connection may keep.
+	idleBuffer = 4 << 10
 	// maxFrame bounds one encoded frame: a chunk, or names and a message.
 	maxFrame = ChunkSize + 1<<10
 	// maxName bounds cluster, VM and method names.
@@ -73,8 +77,9 @@
 	// BackoffMin and BackoffMax bound the pause before a reconnect.
 	BackoffMin = 50 * time.Millisecond
 	BackoffMax = time.Second
-	// dialTimeout bounds a dial with its hello.
-	dialTimeout = time.Second
+	// dialTimeout bounds a dial with its hello: three round trips of 16 ms
+	// between regions, with room for a busy peer.
+	dialTimeout = 500 * time.Millisecond
 	// stableAfter is the life of a connection after which a break counts as
 	// the first one again.
 	stableAfter = time.Second
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -12,9 +12,6 @@
 	"github.com/apex/log/handlers/discard"
 )
 
-// readBuffer is the size of the buffer between a connection and its decoder.
-const readBuffer = 4 * ChunkSize
-
 // Node is one VM's end of all its links.
 type Node struct {
 	cfg      Config
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -30,7 +30,8 @@
 	// conn is the dialed connection while phaseUp, accepted the newest one
 	// that the peer dialed.
 	conn, accepted *conn
-	// lastErr says why there is no connection.
+	// lastErr says why there is no connection. While phaseDialing it is set
+	// after a failed dial, so that calls to a lost VM do not wait for the next.
 	lastErr error
 	// changed is closed and replaced at each change of phase.
 	changed chan struct{}
@@ -39,7 +40,7 @@
 }
 
 func newPeer(n *Node, name, addr string) *peer {
-	return &peer{node: n, name: name, addr: addr, changed: make(chan struct{}), lastErr: errNoLink}
+	return &peer{node: n, name: name, addr: addr, changed: make(chan struct{})}
 }
 
 // acquire takes room for one handler.
@@ -59,15 +60,18 @@
 	p.handlers[class]--
 }
 
-// connection returns the link. It waits for a dial in progress, also for the one
-// that follows the end of a connection at once, but not for the pause before one.
+// connection returns the link. It waits for the first dial and for the one that
+// follows the end of a connection at once, but not for one after a failed dial.
 func (p *peer) connection(ctx context.Context) (*conn, error) {
 	for {
 		p.mu.Lock()
 		p.use()
 		phase, c, err, changed := p.phase, p.conn, p.lastErr, p.changed
 		p.mu.Unlock()
-		if phase == phaseWaiting || phase == phaseUnused {
+		if phase == phaseUnused {
+			return nil, errNoLink
+		}
+		if err != nil {
 			return nil, err
 		}
 		if phase == phaseUp && !c.ended() {
@@ -117,9 +121,14 @@
 // that grows until a connection was stable.
 func (p *peer) keep() {
 	failures := 0
+	var failed error
 	for p.node.ctx.Err() == nil {
-		p.set(phaseDialing, nil, nil)
+		p.set(phaseDialing, nil, failed)
 		lived, err := p.session()
+		failed = nil
+		if lived == 0 {
+			failed = err
+		}
 		if lived >= stableAfter {
 			failures = 0
 		}
--- a/internal/link/session_test.go
+++ b/internal/link/session_test.go
@@ -74,7 +74,7 @@
 	defer close(s.frames)
 	r, d := bufio.NewReader(s.nc), newDecoder()
 	for {
-		body, err := readFrame(r, make([]byte, maxFrame))
+		body, err := readFrame(r, nil)
 		if err != nil {
 			s.log.add("peer", "connection ended")
 			return
