--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,8 +6,12 @@
 CLUSTER_PIDS=()
 declare -A PID_OF
 
-# Hosts of VM number $1 (1 to 9): three per region, on 127.0.<region>.<n>.
-vm_ip() { echo "127.0.$(((($1 - 1) / 3) + 1)).$((($1 - 1) % 3 + 1))"; }
+# LOOPBACK_NET is the second octet of all addresses, so that deployments can
+# run side by side.
+LOOPBACK_NET=${LOOPBACK_NET:-0}
+
+# Hosts of VM number $1 (1 to 9): three per region, on 127.<net>.<region>.<n>.
+vm_ip() { echo "127.$LOOPBACK_NET.$(((($1 - 1) / 3) + 1)).$((($1 - 1) % 3 + 1))"; }
 
 # start_process NAME LOG COMMAND... runs a process in the background.
 start_process() {
@@ -58,8 +62,8 @@
 # target_ip SERVICE N gives each target an address of its own.
 target_ip() {
 	case $1 in
-	ledger | spares-desk) echo "127.0.11.$2" ;;
-	*) echo "127.0.12.$2" ;;
+	ledger | spares-desk) echo "127.$LOOPBACK_NET.11.$2" ;;
+	*) echo "127.$LOOPBACK_NET.12.$2" ;;
 	esac
 }
 
