Let one of two simultaneous pre-candidates yield

Two replicas whose timeouts ended within one round trip split the votes and waited for another timeout: with links of 8 ms, 101 of 1000 leader losses among three voters took more than 360 ms, the longest 882 ms. A pre-candidate that grants the pre-vote of a lower ID now abandons its own.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -86,6 +86,18 @@
 		reply.Term = n.term
 	}
 	n.send(reply)
+	if !reply.Reject && n.role == PreCandidate && m.From < n.cfg.ID {
+		n.yield()
+	}
+}
+
+// yield abandons the replica's own pre-vote for that of another one with a
+// lower ID, so that two which began at the same time do not split the votes.
+// If the other does not become leader, this one tries again early.
+func (n *Node) yield() {
+	n.role = Follower
+	n.votes = nil
+	n.electionDeadline = n.now + (n.cfg.ElectionMax-n.cfg.ElectionMin)/2
 }
 
 func (n *Node) onPreVoteReply(m Message) {
--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -56,6 +56,7 @@
 	wire     []simMessage
 	cut      map[string]bool          // replicas of the minority side
 	deaf     map[string]time.Duration // "from>to" links that lose all until then
+	delay    time.Duration            // one way
 	lossy    bool                     // lose, duplicate, delay and reorder messages; slow disks
 	compact  uint64                   // entries between snapshots, 0 for none
 	leaders  map[uint64]string
@@ -67,7 +68,7 @@
 
 func newSim(seed uint64, ids ...string) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), initial: Membership{Voters: ids},
+		rng: rand.New(rand.NewPCG(seed, 1)), delay: 3 * time.Millisecond, initial: Membership{Voters: ids},
 		cut: map[string]bool{}, deaf: map[string]time.Duration{}, leaders: map[uint64]string{}, states: []uint64{0},
 	}
 	for _, id := range ids {
@@ -141,7 +142,7 @@
 }
 
 func (s *sim) post(m Message) {
-	copies, delay := 1, 3*time.Millisecond
+	copies, delay := 1, s.delay
 	if s.lossy {
 		copies = []int{0, 1, 1, 1, 1, 1, 1, 2}[s.rng.IntN(8)]
 	}
--- a/internal/consensus/session_test.go
+++ b/internal/consensus/session_test.go
@@ -226,3 +226,20 @@
 		s.propose(1)
 	})
 }
+
+// Guards against elections that take longer than the sum in the design: the
+// longest timeout and a tick, then pre-vote, vote and commit at 8 ms one way.
+func TestElectionTime(t *testing.T) {
+	const limit = DefaultElectionMax + TickInterval + 6*8*time.Millisecond + simStep
+	for seed := range uint64(200) {
+		s := newSim(seed, []string{"a/0", "b/0", "c/0", "d/0", "e/0"}[:3+seed%2*2]...)
+		s.delay = 8 * time.Millisecond
+		first := s.holder()
+		s.run(time.Duration(100+s.rng.IntN(100)) * time.Millisecond)
+		s.crash(first)
+		lost := s.now
+		if s.holder(); s.now-lost > limit || s.fault != "" {
+			t.Fatalf("seed %d: no leader for %v, limit %v %s", seed, s.now-lost, limit, s.fault)
+		}
+	}
+}
