Add status, membership edits and SaveReady for the control shell

The shell that drives a replica needs to see when a learner is caught up, to derive memberships that differ by one replica, and to save a Ready in the order that recovery relies on.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -69,6 +69,29 @@
 	return Membership{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
 }
 
+// WithLearner returns the membership with another learner.
+func (m Membership) WithLearner(id string) Membership {
+	changed := m.Without(id)
+	changed.Learners = append(changed.Learners, id)
+	return changed
+}
+
+// WithVoter returns the membership with the replica as a voter.
+func (m Membership) WithVoter(id string) Membership {
+	changed := m.Without(id)
+	changed.Voters = append(changed.Voters, id)
+	return changed
+}
+
+// Without returns the membership without the replica.
+func (m Membership) Without(id string) Membership {
+	isReplica := func(other string) bool { return other == id }
+	changed := m.clone()
+	changed.Voters = slices.DeleteFunc(changed.Voters, isReplica)
+	changed.Learners = slices.DeleteFunc(changed.Learners, isReplica)
+	return changed
+}
+
 // checkShape refuses a membership without voters or with duplicates.
 func (m Membership) checkShape() *MembershipError {
 	if len(m.Voters) == 0 {
--- /dev/null
+++ b/internal/consensus/status.go
@@ -0,0 +1,92 @@
+package consensus
+
+import "time"
+
+// String returns the name of the role.
+func (r Role) String() string {
+	switch r {
+	case Follower:
+		return "follower"
+	case PreCandidate:
+		return "pre-candidate"
+	case Candidate:
+		return "candidate"
+	case Leader:
+		return "leader"
+	}
+	return "invalid"
+}
+
+// String returns the name of the message type.
+func (t MessageType) String() string {
+	names := [...]string{"pre-vote", "pre-vote reply", "vote", "vote reply", "append", "append reply", "snapshot"}
+	if int(t) < len(names) {
+		return names[t]
+	}
+	return "invalid"
+}
+
+// ReplicaStatus is what a leader knows about a replica.
+type ReplicaStatus struct {
+	ID    string
+	Voter bool
+	// Match is the last index known to be synced there.
+	Match uint64
+	// Silence is the time since the last reply; the leader's own is 0.
+	Silence time.Duration
+	// CaughtUp says that a learner may become a voter.
+	CaughtUp bool
+	// Installing says that a snapshot is on its way.
+	Installing bool
+}
+
+// Status describes a replica for operators and for the decision to promote a
+// learner.
+type Status struct {
+	ID          string
+	Role        Role
+	Term        uint64
+	Leader      string
+	CommitIndex uint64
+	// LastIndex is the last index of the log, committed or not.
+	LastIndex uint64
+	// SnapshotIndex is the last index that the newest snapshot covers.
+	SnapshotIndex uint64
+	// Replicas lists all members, voters first, on a leader; nil otherwise.
+	Replicas []ReplicaStatus
+}
+
+// Status returns the state of the replica at time now.
+func (n *Node) Status(now time.Duration) Status {
+	n.observe(now)
+	s := Status{
+		ID: n.cfg.ID, Role: n.role, Term: n.term, Leader: n.leader,
+		CommitIndex: n.log.commit, LastIndex: n.log.last(),
+	}
+	if n.snapshot != nil {
+		s.SnapshotIndex = n.snapshot.Index
+	}
+	if n.role == Leader {
+		s.Replicas = n.replicaStatus()
+	}
+	return s
+}
+
+func (n *Node) replicaStatus() []ReplicaStatus {
+	var all []ReplicaStatus
+	membership := n.history.current()
+	for _, id := range membership.Members() {
+		status := ReplicaStatus{ID: id, Voter: membership.IsVoter(id)}
+		if p := n.peers[id]; p != nil {
+			status.Match = p.match
+			status.Silence = n.now - p.lastReply
+			status.CaughtUp = p.caughtUp(n.now, n.cfg.ElectionMin)
+			status.Installing = p.state == installing
+		} else {
+			status.Match = n.log.stable
+			status.CaughtUp = true
+		}
+		all = append(all, status)
+	}
+	return all
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -81,6 +81,22 @@
 	return nil
 }
 
+// SaveReady saves what a consensus.Ready asks for, in the order that recovery
+// relies on: an interrupted call leaves no entry without its term and no entry
+// without the snapshot that it follows. Errors: as for Save.
+func (s *Store) SaveReady(r consensus.Ready) error {
+	if r.Snapshot == nil {
+		return s.Save(r.HardState, r.Entries)
+	}
+	if err := s.Save(r.HardState, nil); err != nil {
+		return err
+	}
+	if err := s.SaveSnapshot(*r.Snapshot); err != nil {
+		return err
+	}
+	return s.Save(nil, r.Entries)
+}
+
 func (s *Store) currentNumber() uint64 { return s.segments[len(s.segments)-1].number }
 
 func encodeSave(hs *consensus.HardState, entries []consensus.Entry, start location) ([]byte, error) {
