Log the initial membership and shorten messages

The membership of the settings was in force until the first change, so settings that differ after a restart changed who votes. The first leader now puts it into the log; without this TestCommitRule fails.

--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -18,13 +18,16 @@
 	errTrailing = errors.New("bytes follow the encoded value")
 )
 
-// EncodeMessage returns the encoding of a message for the network.
+// EncodeMessage returns the encoding of a message for the network. Integers are
+// compact, since heartbeats are most of the traffic of an idle cluster.
 func EncodeMessage(m Message) ([]byte, error) {
-	data, err := msgpack.Marshal(&m)
-	if err != nil {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(&m); err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode message")
 	}
-	return data, nil
+	return buffer.Bytes(), nil
 }
 
 // DecodeMessage returns the message that EncodeMessage encoded. It fails on
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// recordInitialMembership puts the membership of the settings into the log, so
+// that settings which change later do not change who votes.
+func (n *Node) recordInitialMembership() {
+	if n.history.currentIndex() > 0 {
+		return
+	}
+	m := n.history.current()
+	data, err := encodeMembership(m)
+	if err != nil {
+		return // the next leader tries again
+	}
+	index := n.appendOwn(EntryMembership, data)
+	n.history = append(n.history, membershipAt{index, m})
+}
+
 // becomeLeader begins the term with a no-op entry: entries of earlier terms
 // are committed only together with one of this term.
 func (n *Node) becomeLeader() {
@@ -156,5 +171,6 @@
 	n.peers = make(map[string]*progress)
 	n.updatePeers()
 	n.termStart = n.appendOwn(EntryCommand, nil)
+	n.recordInitialMembership()
 	n.heartbeatDue = n.now + n.cfg.HeartbeatInterval
 }
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -99,7 +99,8 @@
 }
 
 // Guards against committing an entry of an earlier term, or one that the
-// leader itself has not synced, by counting replicas: both can be lost.
+// leader itself has not synced, by counting replicas: both can be lost. Guards
+// also against settings that change who votes after the first term.
 func TestCommitRule(t *testing.T) {
 	n := lead(t, abc, HardState{Term: 2}, command(1, 1), command(2, 2))
 	ack := func(index uint64) {
@@ -107,7 +108,9 @@
 	}
 	unsynced := n.Ready()
 	ack(2)
-	if _, _, err := n.ProposeMembership(n.now, Membership{Voters: abc.Voters[:2]}); n.CommitIndex() != 0 || !errors.As(err, new(*MembershipError)) {
+	var refusal *MembershipError
+	_, _, err := n.ProposeMembership(n.now, abc.Without("c/0"))
+	if n.CommitIndex() != 0 || !errors.As(err, &refusal) || refusal.Fault != TermNotReady {
 		t.Fatalf("commit %d by an earlier term, change: %v", n.CommitIndex(), err)
 	}
 	ack(3)
@@ -118,6 +121,10 @@
 	if n.CommitIndex() != 3 || !n.LeaseValid(n.now) {
 		t.Fatalf("commit %d after the leader synced", n.CommitIndex())
 	}
+	restarted, err := New(n.cfg, Membership{Voters: []string{"a/0"}}, HardState{Term: 3}, nil, n.log.entries)
+	if err != nil || len(restarted.Membership().Voters) != 3 {
+		t.Fatalf("settings replaced the logged membership: %v %v", restarted.Membership(), err)
+	}
 	if n.Compact(3, nil); n.snapshot != nil {
 		t.Fatal("a snapshot covers entries that were not delivered")
 	}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -65,23 +65,23 @@
 
 // Message is what replicas send each other.
 type Message struct {
-	Type MessageType `msgpack:"y"`
-	From string      `msgpack:"f"`
-	To   string      `msgpack:"o"`
-	Term uint64      `msgpack:"t"`
+	Type MessageType `msgpack:"y,omitempty"`
+	From string      `msgpack:"f,omitempty"`
+	To   string      `msgpack:"o,omitempty"`
+	Term uint64      `msgpack:"t,omitempty"`
 	// Index and LogTerm are the position before Entries (append), the last
 	// position (votes) or the matched position (replies).
-	Index   uint64  `msgpack:"i"`
-	LogTerm uint64  `msgpack:"l"`
-	Entries []Entry `msgpack:"e"`
-	Commit  uint64  `msgpack:"c"`
-	Reject  bool    `msgpack:"r"`
+	Index   uint64  `msgpack:"i,omitempty"`
+	LogTerm uint64  `msgpack:"l,omitempty"`
+	Entries []Entry `msgpack:"e,omitempty"`
+	Commit  uint64  `msgpack:"c,omitempty"`
+	Reject  bool    `msgpack:"r,omitempty"`
 	// Hint is the position from which a rejecting follower wants entries.
-	Hint uint64 `msgpack:"h"`
+	Hint uint64 `msgpack:"h,omitempty"`
 	// Stamp is the leader's monotonic time at which it sent an append; the
 	// reply repeats it. The leader lease counts from it.
-	Stamp    time.Duration `msgpack:"s"`
-	Snapshot *Snapshot     `msgpack:"n"`
+	Stamp    time.Duration `msgpack:"s,omitempty"`
+	Snapshot *Snapshot     `msgpack:"n,omitempty"`
 }
 
 // Role is the role of a replica.
