Let clocks drift in the random runs and test late replies

The clocks of the replicas ran at one rate, although the margin between leader lease and election minimum exists for different rates; they now differ by up to 10% each way. A lease counted from the arrival of a reply was only seen as a changed trace; TestCommitRule now fails when a late reply extends a lease.

--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -23,6 +23,7 @@
 	paused   bool
 	backAt   time.Duration // end of the fault, in random runs
 	started  time.Duration
+	drift    time.Duration // its clock gains this much per second
 	inbox    []Message
 	hs       HardState
 	snap     *Snapshot
@@ -113,6 +114,9 @@
 		return
 	}
 	*r = simReplica{id: r.id, node: node, started: s.now, hs: r.hs, snap: r.snap, entries: r.entries, shown: r.shown}
+	if s.lossy {
+		r.drift = time.Duration(s.rng.IntN(200)-100) * time.Millisecond
+	}
 	if r.snap != nil {
 		r.applied, r.state = r.snap.Index, binary.LittleEndian.Uint64(r.snap.Data)
 	}
@@ -120,7 +124,11 @@
 
 func (s *sim) crash(r *simReplica) { r.node, r.ready, r.inbox, r.paused = nil, nil, nil, false }
 
-func (s *sim) local(r *simReplica) time.Duration { return s.now - r.started }
+// local is the time on a replica's own clock.
+func (s *sim) local(r *simReplica) time.Duration {
+	elapsed := s.now - r.started
+	return elapsed + elapsed/time.Millisecond*r.drift/1000
+}
 
 func (s *sim) apply(r *simReplica, e Entry) {
 	if e.Index != r.applied+1 {
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -100,7 +100,8 @@
 
 // Guards against committing an entry of an earlier term, or one that the
 // leader itself has not synced, by counting replicas: both can be lost. Guards
-// also against settings that change who votes after the first term.
+// also against a lease that counts from the arrival of a reply, and against
+// settings that change who votes after the first term.
 func TestCommitRule(t *testing.T) {
 	n := lead(t, abc, HardState{Term: 2}, command(1, 1), command(2, 2))
 	ack := func(index uint64) {
@@ -121,6 +122,11 @@
 	if n.CommitIndex() != 3 || !n.LeaseValid(n.now) {
 		t.Fatalf("commit %d after the leader synced", n.CommitIndex())
 	}
+	late := n.now + DefaultLeaderLease
+	n.Step(late, Message{Type: MsgAppendReply, From: "b/0", To: "a/0", Term: 3, Index: 4, Stamp: n.now})
+	if n.LeaseValid(late) {
+		t.Fatal("a late reply extended the lease")
+	}
 	restarted, err := New(n.cfg, Membership{Voters: []string{"a/0"}}, HardState{Term: 3}, nil, n.log.entries)
 	if err != nil || len(restarted.Membership().Voters) != 3 {
 		t.Fatalf("settings replaced the logged membership: %v %v", restarted.Membership(), err)
