--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -51,8 +51,8 @@
 }
 
 // Guards against votes that could elect a second leader: while a lease may be
-// valid, after a restart, for a shorter log, twice in a term, or in the name
-// of another identity.
+// valid, after a restart, for a shorter log, twice in a term, without being
+// saved, or in the name of another identity.
 func TestVotes(t *testing.T) {
 	hs := HardState{Term: 4, Vote: "c/0"}
 	vote := func(term, index, logTerm uint64) Message {
@@ -88,9 +88,12 @@
 		}
 		drain(n)
 		n.Step(n.now, c.m)
-		got := "silent"
-		for _, m := range drain(n) {
+		got, r := "silent", n.Ready()
+		for _, m := range r.Messages {
 			got = fmt.Sprintf("%s %d", map[bool]string{true: "reject", false: "grant"}[m.Reject], m.Term)
+			if !m.Reject && (r.HardState == nil || r.HardState.Vote != m.To || r.HardState.Term != m.Term) {
+				t.Errorf("%s: granted without saving %+v", c.name, r.HardState)
+			}
 		}
 		if got != c.want {
 			t.Errorf("%s: %s, want %s", c.name, got, c.want)
