Bound the cost of planning and the life of announcements

A lost target that was removed was registered again from its old announcement; announcements now count for 5 s.

--- a/internal/control/apply_config.go
+++ b/internal/control/apply_config.go
@@ -72,6 +72,8 @@
 }
 
 // updateHolders starts a new set of record holders if the current one changed.
+// Before the first text there is no service and no record, so the set is
+// replaced.
 func (s *State) updateHolders() {
 	var members []holder
 	for _, name := range sortedNames(s.vms) {
@@ -85,6 +87,9 @@
 	if n := len(s.holders); n > 0 && equalHolders(s.holders[n-1].Members, members) {
 		return
 	}
+	if s.number == 0 {
+		s.holders = nil
+	}
 	s.holders = append(s.holders, holderSet{Number: s.version, Members: members})
 }
 
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -51,7 +51,9 @@
 	Target      string         `msgpack:"t"`
 	Incarnation uint64         `msgpack:"i"`
 	Epoch       contract.Epoch `msgpack:"e"`
-	Reachable   bool           `msgpack:"r"`
+	// Reachable says that the target answered this dispatcher within the last
+	// two renewal intervals; it is false until the first answer.
+	Reachable bool `msgpack:"r"`
 	// GrantExpired says that no work sent by this dispatcher or an earlier
 	// one can still begin on a target that checks grants. It is final for
 	// the epoch: the dispatcher neither grants nor sends under this epoch
@@ -84,7 +86,8 @@
 	Version      uint64         `msgpack:"n"`
 	ConfigNumber uint64         `msgpack:"c"`
 	Reports      []TargetReport `msgpack:"r"`
-	// Announcements are targets that announced themselves at this VM.
+	// Announcements are targets that announced themselves at this VM since its
+	// last heartbeat.
 	Announcements []Target `msgpack:"a"`
 	// Unreachable lists targets that this VM, not being their dispatcher,
 	// failed to reach on the leader's request.
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -10,6 +10,9 @@
 const (
 	// reportAge is the age up to which a dispatcher's report counts.
 	reportAge = time.Second
+	// announcementAge is the age up to which an announcement adds a target;
+	// targets announce themselves every second.
+	announcementAge = 5 * time.Second
 	// probeAge is the age up to which a probe of another VM counts.
 	probeAge = 600 * time.Millisecond
 )
@@ -41,6 +44,12 @@
 	reached bool
 }
 
+// announcement is the latest announcement of a target.
+type announcement struct {
+	target Target
+	at     time.Duration
+}
+
 // Heartbeat records what a VM observed and that its lease is renewed now. A
 // heartbeat of an older incarnation, or one that arrives after a later one, is
 // ignored: the lease it renews ends before the one already recorded.
@@ -62,7 +71,7 @@
 		p.observeReport(now, hb.VM, report)
 	}
 	for _, announced := range hb.Announcements {
-		p.observeAnnouncement(announced)
+		p.observeAnnouncement(now, announced)
 	}
 	p.observeProbes(now, hb)
 }
@@ -96,18 +105,28 @@
 		}
 	}
 	p.reports[report.Target] = next
+	if !same || report.State != before.report.State || report.Reachable != before.report.Reachable {
+		p.changed[report.Target] = true
+	}
+	delete(p.suspects, report.Target)
+	if !report.Reachable || report.GrantExpired {
+		p.suspects[report.Target] = true
+	}
 	p.observeHot(now, report)
 }
 
-func (p *Planner) observeAnnouncement(t Target) {
+func (p *Planner) observeAnnouncement(now time.Duration, t Target) {
 	known, ok := p.announced[t.ID]
-	if ok && t.Incarnation < known.Incarnation {
+	if ok && t.Incarnation < known.target.Incarnation {
 		return
 	}
-	if ok && t.Incarnation == known.Incarnation && known.State == Leaving {
+	if ok && t.Incarnation == known.target.Incarnation && known.target.State == Leaving {
 		t.State = Leaving
 	}
-	p.announced[t.ID] = t
+	if !ok || t != known.target || now-known.at > announcementAge {
+		p.changed[t.ID] = true
+	}
+	p.announced[t.ID] = announcement{target: t, at: now}
 }
 
 func (p *Planner) observeProbes(now time.Duration, hb Heartbeat) {
--- a/internal/control/plan_assign.go
+++ b/internal/control/plan_assign.go
@@ -39,6 +39,9 @@
 	return l.total * c.slots / l.slots
 }
 
+// excess is the load above the ideal one.
+func (l *serviceLoad) excess(c *candidate) float64 { return c.load - l.ideal(c) }
+
 // loadOf returns the load of the targets of a service that may take slices.
 func (r *round) loadOf(service string) *serviceLoad {
 	if l, ok := r.loads[service]; ok {
@@ -100,7 +103,7 @@
 // takesSlices reports whether the target may be given slices now: the text and
 // its state allow it, and its dispatcher reached it a short time ago.
 func (r *round) takesSlices(t Target) bool {
-	if !r.s.layout.accepts(t, "") || r.p.announced[t.ID].State == Leaving {
+	if !r.s.layout.accepts(t, "") || r.p.announced[t.ID].target.State == Leaving {
 		return false
 	}
 	if _, ok := r.s.layout.services[t.Service]; !ok {
--- a/internal/control/plan_balance.go
+++ b/internal/control/plan_balance.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/contract"
@@ -72,29 +74,49 @@
 	}
 }
 
-// bestMove returns the move with the highest gain among those from the target
-// with the most excess load; its entry is nil if none pays.
+// bestMove returns the move with the highest gain; its entry is nil if none
+// pays.
 func (r *round) bestMove(l *serviceLoad, weights text.Weights) move {
+	slices.SortStableFunc(l.candidates, func(a, b *candidate) int {
+		return cmp.Compare(l.excess(a), l.excess(b))
+	})
 	var best move
 	for _, from := range l.candidates {
-		excess := from.load - l.ideal(from)
 		// A cold target keeps what it has: moving it away would only warm
 		// the keys elsewhere once more.
-		if from.target.State == Cold || (excess <= 0 && !from.straggler) {
+		if from.target.State == Cold || (l.excess(from) <= 0 && !from.straggler) {
 			continue
 		}
-		for _, entry := range r.model.owned[from.target.ID] {
-			if entry.Assignment.Phase != contract.Owned || r.p.inFlight(sliceKey(entry.Slice.ID)) {
-				continue
-			}
-			if m := r.bestDestination(l, weights, from, entry); m.gain > best.gain {
-				best = m
-			}
+		if m := r.bestMoveFrom(l, weights, from); m.gain > best.gain {
+			best = m
 		}
 	}
 	return best
 }
 
+func (r *round) bestMoveFrom(l *serviceLoad, weights text.Weights, from *candidate) move {
+	var best move
+	type kind struct {
+		weight    float64
+		residency contract.Residency
+	}
+	seen := map[kind]bool{}
+	for _, entry := range r.model.owned[from.target.ID] {
+		k := kind{r.weight(entry), entry.Slice.Residency}
+		if seen[k] || entry.Assignment.Phase != contract.Owned || r.p.inFlight(sliceKey(entry.Slice.ID)) {
+			continue
+		}
+		seen[k] = true
+		if m := r.bestDestination(l, weights, from, entry); m.gain > best.gain {
+			best = m
+		}
+	}
+	return best
+}
+
+// bestDestination returns the best move of a slice. The imbalance is the sum of
+// the squared excess loads, so the destination with the least excess decreases
+// it most; only the cost of stragglers can make a later one better.
 func (r *round) bestDestination(l *serviceLoad, weights text.Weights, from *candidate, entry *ContractSlice) move {
 	var best move
 	w := r.weight(entry)
@@ -102,16 +124,16 @@
 		if !r.allowed(to, entry) || !fits(l, to, w) {
 			continue
 		}
-		// The imbalance is the sum of the squared differences from the ideal
-		// loads; this is its decrease.
-		reduction := 2 * w * ((from.load - l.ideal(from)) - (to.load - l.ideal(to)) - w)
-		gain := weights.Balance*reduction - weights.Churn
+		gain := weights.Balance*2*w*(l.excess(from)-l.excess(to)-w) - weights.Churn
 		if from.straggler && !to.straggler {
 			gain += weights.Tail
 		}
 		if gain > best.gain {
 			best = move{entry: entry, to: to, gain: gain}
 		}
+		if !from.straggler || !to.straggler {
+			break
+		}
 	}
 	return best
 }
--- a/internal/control/plan_cleanup.go
+++ b/internal/control/plan_cleanup.go
@@ -97,11 +97,18 @@
 		if _, ok := r.s.targets[id]; !ok {
 			delete(r.p.reports, id)
 			delete(r.p.probed, id)
+			delete(r.p.suspects, id)
 			delete(r.p.settled, id)
 			delete(r.p.idleSince, id)
 			delete(r.p.knownSince, id)
 		}
 	}
+	for id, latest := range r.p.announced {
+		if r.now-latest.at > removeAfter {
+			delete(r.p.announced, id)
+			r.p.announcedIDs = nil
+		}
+	}
 	for id := range r.p.preferred {
 		entry, ok := r.s.slices[id]
 		if !ok || (entry.Assignment.Phase == contract.Owned && !r.p.inFlight(sliceKey(id))) {
--- a/internal/control/plan_dispatch.go
+++ b/internal/control/plan_dispatch.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/contract"
@@ -12,7 +13,7 @@
 
 // improveInterval is the time between two moves of contracts that only improve
 // their placement.
-const improveInterval = 100 * time.Millisecond
+const improveInterval = 250 * time.Millisecond
 
 // avoidance names a VM that failed to reach a target which others reached.
 type avoidance struct {
@@ -62,30 +63,87 @@
 	return end, r.now >= end
 }
 
+// dispatchScan remembers the last look at all contracts, which is repeated
+// only when something that it depends on changed.
+type dispatchScan struct {
+	revision uint64
+	eligible []string
+	// open says that a contract waits to be moved or settled.
+	open bool
+	next time.Duration
+}
+
 // setDispatches gives each target a dispatcher with a valid lease.
 func (r *round) setDispatches() {
-	counts := r.contractCounts()
-	moved := r.now < r.p.nextImprove
-	if !moved {
-		r.p.nextImprove = r.now + improveInterval
+	eligible := r.eligibleVMs()
+	scan := &r.p.dispatch
+	improve := r.now >= scan.next
+	if !improve && !scan.open && scan.revision == r.s.revision && slices.Equal(scan.eligible, eligible) {
+		return
 	}
+	scan.revision, scan.eligible, scan.open = r.s.revision, eligible, false
+	if improve {
+		scan.next = r.now + improveInterval
+	}
+	counts := r.contractCounts()
+	least := r.leastContracts(counts)
 	for _, id := range r.model.targets {
-		if r.p.inFlight(pendingKey{subject: subjectDispatch, name: id}) {
+		t := r.s.targets[id]
+		current := r.s.dispatches[id].Dispatch
+		if _, ok := r.settledAt(id); !ok || r.p.inFlight(pendingKey{subject: subjectDispatch, name: id}) {
+			scan.open = true
 			continue
 		}
-		if _, ok := r.settledAt(id); !ok {
+		if !r.keepsDispatch(t, current) {
+			scan.open = true
+			r.replaceDispatch(t, current, counts)
 			continue
 		}
-		t := r.s.targets[id]
-		current := r.s.dispatches[id].Dispatch
-		if r.keepsDispatch(t, current) {
-			if !moved {
-				moved = r.improveDispatch(t, current, counts)
+		if improve && !r.p.suspects[id] && r.mayImprove(t, current, counts, least) && r.improveDispatch(t, current, counts) {
+			improve = false
+		}
+	}
+}
+
+// eligibleVMs returns the VMs that may be given contracts, in name order.
+func (r *round) eligibleVMs() []string {
+	var names []string
+	for _, name := range r.p.sortedVMs() {
+		region := r.s.layout.regionOf[r.s.vms[name].DataCentre]
+		if r.mayDispatch(name, region) {
+			names = append(names, name)
+			r.eligible[region] = append(r.eligible[region], name)
+		}
+	}
+	return names
+}
+
+// leastContracts returns the fewest contracts of an eligible VM per data centre
+// and per region.
+func (r *round) leastContracts(counts map[string]int) map[string]int {
+	least := map[string]int{}
+	for region, names := range r.eligible {
+		for _, name := range names {
+			for _, place := range []string{"r/" + region, "d/" + r.s.vms[name].DataCentre} {
+				if n, ok := least[place]; !ok || counts[name] < n {
+					least[place] = counts[name]
+				}
 			}
-			continue
 		}
-		r.replaceDispatch(t, current, counts)
 	}
+	return least
+}
+
+// mayImprove reports whether a look for a better dispatcher can pay.
+func (r *round) mayImprove(t Target, d contract.Dispatch, counts, least map[string]int) bool {
+	near, ok := least["d/"+t.DataCentre]
+	switch r.rank(t, d.VM) {
+	case 0:
+		return ok && counts[d.VM]-near >= dispatchSpread
+	case 1:
+		return ok || counts[d.VM]-least["r/"+r.s.layout.regionOf[t.DataCentre]] >= dispatchSpread
+	}
+	return true
 }
 
 func (r *round) contractCounts() map[string]int {
@@ -196,19 +254,7 @@
 }
 
 // dispatchersOf returns the VMs that may be given contracts of the region.
-func (r *round) dispatchersOf(region string) []string {
-	if names, ok := r.eligible[region]; ok {
-		return names
-	}
-	var names []string
-	for _, name := range r.p.sortedVMs() {
-		if r.mayDispatch(name, region) {
-			names = append(names, name)
-		}
-	}
-	r.eligible[region] = names
-	return names
-}
+func (r *round) dispatchersOf(region string) []string { return r.eligible[region] }
 
 func (r *round) betterDispatcher(t Target, a, b string, counts map[string]int) bool {
 	if rankA, rankB := r.rank(t, a), r.rank(t, b); rankA != rankB {
--- a/internal/control/plan_drain.go
+++ b/internal/control/plan_drain.go
@@ -19,8 +19,8 @@
 }
 
 // mustLeave reports whether the owner may not keep the slice.
-func (r *round) mustLeave(t Target, slice contract.Slice) bool {
-	l := r.s.layout
+func (s *State) mustLeave(t Target, slice contract.Slice) bool {
+	l := s.layout
 	if !l.wants(keyOf(slice)) || t.State == Leaving || l.retiredTargets[t.ID] {
 		return true
 	}
@@ -30,7 +30,7 @@
 // drainSlices proposes to drain the slices that their owners may not keep,
 // within the move budget, dependants before dependencies.
 func (r *round) drainSlices() {
-	leaving := r.leavingSlices()
+	leaving := r.model.leaving
 	if len(leaving) == 0 && len(r.model.ending) == 0 {
 		clear(r.p.blockedSince)
 		return
@@ -51,19 +51,6 @@
 	}
 }
 
-func (r *round) leavingSlices() []*ContractSlice {
-	var leaving []*ContractSlice
-	for _, id := range r.model.targets {
-		t := r.s.targets[id]
-		for _, entry := range r.model.owned[id] {
-			if entry.Assignment.Phase == contract.Owned && r.mustLeave(t, entry.Slice) {
-				leaving = append(leaving, entry)
-			}
-		}
-	}
-	return leaving
-}
-
 // busyPlaces returns the services and data centres whose slices are leaving.
 func (r *round) busyPlaces(leaving []*ContractSlice) map[groupPlace]bool {
 	busy := map[groupPlace]bool{}
--- a/internal/control/plan_loss.go
+++ b/internal/control/plan_loss.go
@@ -21,7 +21,7 @@
 // to reach, so that the results are there when the grants expire.
 func (r *round) orderProbes() {
 	r.p.orders = map[string][]string{}
-	for _, id := range r.model.targets {
+	for _, id := range r.suspects() {
 		observed, ok := r.report(id)
 		if !ok || observed.report.Reachable {
 			continue
@@ -67,8 +67,9 @@
 
 // handleReports acts on the reports of unreachable and returned targets.
 func (r *round) handleReports() {
-	lost, total := r.countLosses()
-	for _, id := range r.model.targets {
+	suspects := r.suspects()
+	lost, total := r.countLosses(suspects)
+	for _, id := range suspects {
 		observed, ok := r.report(id)
 		if !ok {
 			continue
@@ -87,16 +88,35 @@
 	}
 }
 
+// suspects returns the registered targets that are marked as lost or whose
+// last report was not a good one, in ID order.
+func (r *round) suspects() []string {
+	if len(r.p.suspects) == 0 && len(r.model.lost) == 0 {
+		return nil
+	}
+	var ids []string
+	for _, id := range r.model.targets {
+		if r.p.suspects[id] || r.s.targets[id].Lost {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // countLosses counts the lost targets and all targets of each service.
-func (r *round) countLosses() (lost, total map[string]int) {
+func (r *round) countLosses(suspects []string) (lost, total map[string]int) {
 	lost, total = map[string]int{}, map[string]int{}
-	for _, id := range r.model.targets {
-		service := r.s.targets[id].Service
-		total[service]++
+	for _, id := range suspects {
 		if observed, ok := r.report(id); ok && observed.report.GrantExpired {
-			lost[service]++
+			lost[r.s.targets[id].Service]++
 		}
 	}
+	if len(lost) == 0 {
+		return lost, total
+	}
+	for _, id := range r.model.targets {
+		total[r.s.targets[id].Service]++
+	}
 	return lost, total
 }
 
--- a/internal/control/plan_members.go
+++ b/internal/control/plan_members.go
@@ -17,21 +17,41 @@
 }
 
 // registerTargets proposes targets that are new or changed and the states that
-// targets announce.
+// targets announce. It looks at all targets only after a change of the state.
 func (r *round) registerTargets() {
-	for _, id := range sortedNames(r.p.announced) {
-		announced := r.p.announced[id]
-		known, ok := r.s.targets[id]
-		if r.mayRegister(announced, known, ok) {
-			r.propose(Command{RegisterTarget: &announced})
-			continue
+	ids := sortedNames(r.p.changed)
+	if r.p.checkedRevision != r.s.revision {
+		r.p.checkedRevision = r.s.revision
+		if len(r.p.announcedIDs) != len(r.p.announced) {
+			r.p.announcedIDs = sortedNames(r.p.announced)
 		}
-		if ok && announced.Incarnation == known.Incarnation {
-			r.markState(announced, known)
+		ids = r.p.announcedIDs
+	}
+	for _, id := range ids {
+		if !r.registerTarget(id) {
+			delete(r.p.changed, id)
+			continue
 		}
+		r.p.changed[id] = true
 	}
 }
 
+// registerTarget proposes what is new of one target and reports whether there
+// is anything.
+func (r *round) registerTarget(id string) bool {
+	latest, ok := r.p.announced[id]
+	if !ok || r.now-latest.at > announcementAge {
+		return false
+	}
+	announced := latest.target
+	known, registered := r.s.targets[id]
+	if r.mayRegister(announced, known, registered) {
+		r.propose(Command{RegisterTarget: &announced})
+		return true
+	}
+	return registered && announced.Incarnation == known.Incarnation && r.markState(announced, known)
+}
+
 // mayRegister reports whether an announcement adds or changes a target. A
 // target that is leaving is not added.
 func (r *round) mayRegister(announced, known Target, registered bool) bool {
@@ -53,7 +73,7 @@
 
 // markState proposes the target's state. The dispatcher's report is newer than
 // an announcement; a target that is leaving stays so until it restarts.
-func (r *round) markState(announced, known Target) {
+func (r *round) markState(announced, known Target) bool {
 	state := announced.State
 	if observed, ok := r.report(known.ID); ok && observed.report.Reachable && observed.report.State != "" {
 		state = observed.report.State
@@ -61,9 +81,11 @@
 	if announced.State == Leaving || known.State == Leaving {
 		state = Leaving
 	}
-	if state != known.State {
-		r.propose(mark(known, state, known.Lost))
+	if state == known.State {
+		return false
 	}
+	r.propose(mark(known, state, known.Lost))
+	return true
 }
 
 func mark(t Target, state TargetState, lost bool) Command {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -21,9 +21,17 @@
 	vms       map[string]*vmObservation
 	vmNames   []string
 	reports   map[string]reportObservation
-	announced map[string]Target
-	probed    map[string]map[string]probeObservation
-	hot       map[hotKey]hotObservation
+	announced map[string]announcement
+	// announcedIDs are the sorted keys of announced.
+	announcedIDs []string
+	// changed are targets whose announcement or reported state changed;
+	// checkedRevision is the state's revision at the last look at all.
+	changed         map[string]bool
+	checkedRevision uint64
+	// suspects are the targets whose last report was not a good one.
+	suspects map[string]bool
+	probed   map[string]map[string]probeObservation
+	hot      map[hotKey]hotObservation
 	// hotBySlice is the weight that hot hashes add to slices.
 	hotBySlice map[contract.SliceID]float64
 
@@ -42,7 +50,8 @@
 	placeSince   map[string]time.Duration
 	blockedSince map[groupPlace]time.Duration
 	avoided      map[avoidance]time.Duration
-	nextImprove  time.Duration
+	dispatch     dispatchScan
+	nextPlan     time.Duration
 	nextBalance  time.Duration
 	nextCleanup  time.Duration
 
@@ -57,7 +66,9 @@
 		policy:       DefaultLossPolicy(),
 		vms:          map[string]*vmObservation{},
 		reports:      map[string]reportObservation{},
-		announced:    map[string]Target{},
+		announced:    map[string]announcement{},
+		changed:      map[string]bool{},
+		suspects:     map[string]bool{},
 		probed:       map[string]map[string]probeObservation{},
 		hot:          map[hotKey]hotObservation{},
 		pending:      map[pendingKey]pendingCommands{},
@@ -77,6 +88,11 @@
 // SetLossPolicy replaces the policy for lost targets.
 func (p *Planner) SetLossPolicy(policy LossPolicy) { p.policy = policy }
 
+// planInterval is the shortest time between two rounds of planning; calls in
+// between return nothing. It bounds the cost when a leader plans after each
+// heartbeat of many VMs.
+const planInterval = 10 * time.Millisecond
+
 // Elected starts the term. Contracts that other VMs may still use under leases
 // of the former leader stay untouched for contract.ElectedWait.
 func (p *Planner) Elected(now time.Duration) {
@@ -88,9 +104,10 @@
 // Plan returns the commands to propose now, in the order in which they must
 // enter the log. It returns nothing before Elected.
 func (p *Planner) Plan(now time.Duration, s *State) []Command {
-	if !p.elected {
+	if !p.elected || now < p.nextPlan {
 		return nil
 	}
+	p.nextPlan = now + planInterval
 	p.expirePending(now)
 	r := &round{p: p, s: s, now: now, model: p.modelOf(s), eligible: map[string][]string{}, loads: map[string]*serviceLoad{}}
 	r.registerVMs()
@@ -115,7 +132,7 @@
 	now   time.Duration
 	model *model
 	out   []Command
-	// eligible lists per region the VMs that may dispatch; filled on first use.
+	// eligible lists per region the VMs that may be given contracts.
 	eligible map[string][]string
 	// loads are built on first use.
 	loads map[string]*serviceLoad
@@ -132,8 +149,11 @@
 	unassigned []*ContractSlice
 	// ending lists draining and held slices.
 	ending []*ContractSlice
-	// targets lists the registered targets in ID order.
+	// leaving lists owned slices that their owners may not keep.
+	leaving []*ContractSlice
+	// targets lists the registered targets in ID order, lost the lost ones.
 	targets []string
+	lost    []string
 }
 
 func (p *Planner) modelOf(s *State) *model {
@@ -147,6 +167,9 @@
 			m.add(s.slices[id])
 		}
 	}
+	for _, id := range m.targets {
+		m.addLeaving(s, s.targets[id])
+	}
 	p.model = m
 	return m
 }
@@ -163,6 +186,17 @@
 	m.owned[owner] = append(m.owned[owner], entry)
 }
 
+func (m *model) addLeaving(s *State, t Target) {
+	if t.Lost {
+		m.lost = append(m.lost, t.ID)
+	}
+	for _, entry := range m.owned[t.ID] {
+		if entry.Assignment.Phase == contract.Owned && s.mustLeave(t, entry.Slice) {
+			m.leaving = append(m.leaving, entry)
+		}
+	}
+}
+
 // keyOf returns the group of a slice.
 func keyOf(slice contract.Slice) groupKey {
 	return groupKey{Service: slice.Service, Residency: slice.Residency}
--- a/internal/control/session_test.go
+++ b/internal/control/session_test.go
@@ -188,6 +188,10 @@
 		s.vms[1].dead = true
 		s.run(2 * time.Second)
 	}},
+	{"target-killed", true, contract.RecoveryLimit, func(s *sim) {
+		s.targets[3].dead = true
+		s.run(65 * time.Second)
+	}},
 	{"planned-stop-of-target", true, contract.RecoveryLimit, func(s *sim) {
 		s.targets[3].State = Leaving
 		s.announce(s.targets[3])
@@ -201,6 +205,7 @@
 // that leave a slice without service for too long, that let two targets
 // execute work of one hash, or that differ between replicas.
 func TestSessions(t *testing.T) {
+	t.Parallel()
 	for _, c := range sessions {
 		t.Run(c.name, func(t *testing.T) {
 			s := newSession(1, c.checks)
