Make the tests of drain order and history fail for the right reasons

The drain order test passed without the rule because reporting targets sorted before ledger targets; they now sort after them. The history test used texts that a checking parser refuses.

--- a/internal/control/planner_test.go
+++ b/internal/control/planner_test.go
@@ -92,7 +92,7 @@
 func TestDependantsDrainFirst(t *testing.T) {
 	s := newSites(1, true)
 	for i, dc := range []string{"n1", "n2", "s1"} {
-		s.addTarget(fmt.Sprintf("r%d", i), "reporting", dc, true)
+		s.addTarget(fmt.Sprintf("z%d", i), "reporting", dc, true)
 	}
 	text := strings.Replace(simText, "tenants:", "- {name: reporting, ownership: exclusive, slices: 6, endpoints: 3, slots: 6, "+
 		"depends_on: [{service: ledger, required: true}]}\ntenants:", 1)
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -129,8 +129,12 @@
 // or is lost in a snapshot.
 func TestHistoryIsBounded(t *testing.T) {
 	s := NewState()
-	text := func(n int) string { return fmt.Sprintf("name: n%d\n", n) }
-	for n := range MaxHistory + 5 {
+	text := func(n int) string { return fmt.Sprintf("%s# %d\n", simText, n) }
+	for n := range MaxHistory {
+		s.number++
+		s.remember(historyEntry{Number: s.number, Base: uint64(n), Hash: textHash([]byte(text(n)))})
+	}
+	for n := MaxHistory; n < MaxHistory+5; n++ {
 		applyAll(t, s, setText(uint64(n), text(n)))
 	}
 	data, err := s.Snapshot()
