--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -94,6 +94,8 @@
 	Unreachable []string `msgpack:"u"`
 	// Probed lists targets that this VM reached or failed to reach.
 	Probed []string `msgpack:"p"`
+	// ReplicaID names the replica of the control log on this VM, if any.
+	ReplicaID string `msgpack:"i"`
 }
 
 // Renewal answers a heartbeat.
@@ -136,6 +138,7 @@
 	Split          *Split         `msgpack:"p,omitempty"`
 	Merge          *Merge         `msgpack:"e,omitempty"`
 	ForgetHolders  *ForgetHolders `msgpack:"f,omitempty"`
+	SetHolders     *SetHolders    `msgpack:"o,omitempty"`
 	// AddResidency creates the slices of a service for a residency.
 	AddResidency *AddResidency `msgpack:"y,omitempty"`
 }
@@ -195,6 +198,9 @@
 	Right contract.SliceID `msgpack:"r"`
 }
 
+// SetHolders makes the registered VMs the current set of record holders.
+type SetHolders struct{}
+
 // ForgetHolders drops holder sets older than the given one.
 type ForgetHolders struct {
 	Before uint64 `msgpack:"b"`
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -24,6 +24,8 @@
 	// leaseUntil is the end of the VM lease on the leader's clock.
 	leaseUntil time.Duration
 	version    uint64
+	// since is when the leader first heard of this incarnation.
+	since time.Duration
 }
 
 // reportObservation is a dispatcher's latest report of a target.
@@ -61,7 +63,12 @@
 	if ok && hb.VM.Incarnation == known.vm.Incarnation && hb.SentAt <= known.sentAt {
 		return
 	}
+	since := now
+	if ok && hb.VM.Incarnation == known.vm.Incarnation {
+		since = known.since
+	}
 	p.vms[hb.VM.Name] = &vmObservation{
+		since:      since,
 		vm:         hb.VM,
 		sentAt:     hb.SentAt,
 		leaseUntil: now + contract.VMLease,
@@ -149,11 +156,11 @@
 }
 
 // leaseEnd returns the time up to which this incarnation of a VM may act under
-// a lease. The former leader may have renewed leases up to the election.
+// a lease. A process ended before its successor was heard of. The former leader may have renewed leases up to the election.
 func (r *round) leaseEnd(name string, incarnation uint64) time.Duration {
 	known, ok := r.p.vms[name]
 	if ok && known.vm.Incarnation > incarnation {
-		return r.p.electedAt
+		return known.since
 	}
 	end := r.p.electedAt + contract.ElectedWait
 	if ok {
--- a/internal/control/plan_dispatch.go
+++ b/internal/control/plan_dispatch.go
@@ -54,7 +54,7 @@
 func (r *round) knows(name string, incarnation, index uint64) (time.Duration, bool) {
 	observed, ok := r.p.vms[name]
 	if ok && observed.vm.Incarnation > incarnation {
-		return r.now, true
+		return observed.since, true
 	}
 	if ok && observed.vm.Incarnation == incarnation && observed.version >= index {
 		return r.now, true
--- a/internal/control/plan_loss.go
+++ b/internal/control/plan_loss.go
@@ -67,6 +67,7 @@
 
 // handleReports acts on the reports of unreachable and returned targets.
 func (r *round) handleReports() {
+	r.replaceOrphans()
 	suspects := r.suspects()
 	lost, total := r.countLosses(suspects)
 	for _, id := range suspects {
@@ -88,6 +89,40 @@
 	}
 }
 
+// replaceOrphans takes the slices from targets that no VM can dispatch for: the
+// dispatcher's lease has run out and no other VM of the region has a lease. No
+// report of an expired grant can come, so the leader counts the time itself.
+func (r *round) replaceOrphans() {
+	for _, region := range r.s.layout.text.Regions {
+		if len(r.dispatchersOf(region.Name)) > 0 {
+			continue
+		}
+		for _, id := range r.model.targets {
+			if t := r.s.targets[id]; r.s.layout.regionOf[t.DataCentre] == region.Name {
+				r.replaceOrphan(t)
+			}
+		}
+	}
+}
+
+// replaceOrphan takes the slices from a target that no VM can dispatch for,
+// once the last grant that its dispatcher can have renewed has expired.
+func (r *round) replaceOrphan(t Target) {
+	d := r.s.dispatches[t.ID].Dispatch
+	settled, ok := r.settledAt(t.ID)
+	if !ok || d.VM == "" || r.awaitsRegistration(d) {
+		return
+	}
+	quiet := max(settled, r.leaseEnd(d.VM, d.VMIncarnation))
+	if r.now < quiet+contract.GrantExpiryWait {
+		return
+	}
+	if !t.Lost {
+		r.propose(mark(t, t.State, true))
+	}
+	r.replaceTarget(t)
+}
+
 // suspects returns the registered targets that are marked as lost or whose
 // last report was not a good one, in ID order.
 func (r *round) suspects() []string {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -47,13 +47,16 @@
 	knownSince   map[string]knownIncarnation
 	idleSince    map[string]time.Duration
 	holdersSince map[uint64]time.Duration
-	placeSince   map[string]time.Duration
-	blockedSince map[groupPlace]time.Duration
-	avoided      map[avoidance]time.Duration
-	dispatch     dispatchScan
-	nextPlan     time.Duration
-	nextBalance  time.Duration
-	nextCleanup  time.Duration
+	// holderMembers have been the same since holdersStable.
+	holderMembers []holder
+	holdersStable time.Duration
+	placeSince    map[string]time.Duration
+	blockedSince  map[groupPlace]time.Duration
+	avoided       map[avoidance]time.Duration
+	dispatch      dispatchScan
+	nextPlan      time.Duration
+	nextBalance   time.Duration
+	nextCleanup   time.Duration
 
 	model *model
 }
--- a/internal/control/property_test.go
+++ b/internal/control/property_test.go
@@ -103,6 +103,12 @@
 // interleave runs one random interleaving of faults and changes.
 func interleave(seed uint64) []string {
 	s := newSession(seed, seed%2 == 0)
+	if seed%3 == 0 {
+		// One VM per region is left.
+		for _, i := range []int{1, 2, 3, 5} {
+			s.vms[i].dead = true
+		}
+	}
 	o := &operator{accepted: map[uint64]string{}}
 	s.loss, s.jitter = 0.05, 200*time.Millisecond
 	if os.Getenv("FLAMINGOREEL_TRACE") != "" {
--- a/internal/text/parse.go
+++ b/internal/text/parse.go
@@ -1,58 +1,103 @@
 package text
 
 import (
-	"time"
+	"bytes"
+	"errors"
+	"fmt"
+	"sort"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
 )
 
-// Parse reads a configuration text and fills in defaults. The text is valid
-// only when no faults are returned.
+// maxFaults bounds the faults that Parse returns.
+const maxFaults = 200
+
+// Parse reads a text and fills in defaults. It returns either a valid text and
+// no faults, or nil and all faults in the order of their places. It accepts
+// any input without panicking.
 func Parse(data []byte) (*Text, []Fault) {
 	if len(data) > MaxBytes {
-		return nil, []Fault{{Kind: "size", Message: "text is larger than 1 MiB"}}
+		return nil, []Fault{{Kind: TooLarge, Message: fmt.Sprintf("the text has %d bytes, more than %d", len(data), MaxBytes)}}
+	}
+	root, fault := readTree(data)
+	if fault != nil {
+		return nil, []Fault{*fault}
 	}
-	var t Text
-	if err := yaml.UnmarshalWithOptions(data, &t, yaml.Strict()); err != nil {
-		return nil, []Fault{{Kind: "syntax", Message: err.Error()}}
+	if root == nil {
+		return nil, []Fault{{Line: 1, Column: 1, Kind: EmptyText, Message: "the text is empty"}}
 	}
-	fillDefaults(&t)
-	return &t, nil
+	d := &decoder{places: newPlaces()}
+	t := d.text(root)
+	d.checkReferences(t)
+	if len(d.faults) > 0 {
+		return nil, sortedFaults(d.faults)
+	}
+	return t, nil
 }
 
-func fillDefaults(t *Text) {
-	if t.RecordRetention == 0 {
-		t.RecordRetention = time.Hour
-	}
-	for i := range t.Regions {
-		for j := range t.Regions[i].DataCentres {
-			if t.Regions[i].DataCentres[j].State == "" {
-				t.Regions[i].DataCentres[j].State = In
-			}
+// readTree returns the root node of the only document, or nil if there is none.
+func readTree(data []byte) (root ast.Node, fault *Fault) {
+	// The YAML library indexes slices by positions it read from the text.
+	defer func() {
+		if r := recover(); r != nil {
+			root, fault = nil, &Fault{Line: 1, Column: 1, Kind: Syntax, Message: "the text is not valid YAML"}
 		}
+	}()
+	if bytes.IndexByte(data, 0) >= 0 {
+		return nil, &Fault{Line: 1, Column: 1, Kind: Syntax, Message: "the text contains a NUL byte"}
 	}
-	for i := range t.Services {
-		fillService(&t.Services[i])
+	tokens := lexer.Tokenize(string(data))
+	if fault := checkTokens(tokens); fault != nil {
+		return nil, fault
 	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, syntaxFault(err)
+	}
+	return onlyDocument(file)
 }
 
-func fillService(s *Service) {
-	if s.Slices == 0 {
-		s.Slices = 64
-	}
-	if s.ColdSlots == 0 {
-		s.ColdSlots = 1
-	}
-	if s.QueueLimit == 0 {
-		s.QueueLimit = 8 * s.Slots
+func onlyDocument(file *ast.File) (ast.Node, *Fault) {
+	var root ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body == nil {
+			continue
+		}
+		if doc.Body.Type() == ast.CommentType {
+			continue
+		}
+		if root != nil {
+			return nil, faultAt(doc.Body, Syntax, "the text has more than one document")
+		}
+		root = doc.Body
 	}
-	if s.MaxMovesPerSecond == 0 {
-		s.MaxMovesPerSecond = 50
+	if root != nil && root.Type() == ast.NullType {
+		return nil, nil
 	}
-	if s.Weights.Churn == 0 {
-		s.Weights.Churn = 1
+	return root, nil
+}
+
+func syntaxFault(err error) *Fault {
+	var se *yaml.SyntaxError
+	if errors.As(err, &se) && se.Token != nil && se.Token.Position != nil {
+		return &Fault{Line: se.Token.Position.Line, Column: se.Token.Position.Column, Kind: Syntax, Message: se.Message}
 	}
-	if s.Weights.Balance == 0 {
-		s.Weights.Balance = 1
+	return &Fault{Line: 1, Column: 1, Kind: Syntax, Message: "the text is not valid YAML"}
+}
+
+// sortedFaults returns at most maxFaults faults, ordered by place.
+func sortedFaults(faults []Fault) []Fault {
+	sort.SliceStable(faults, func(i, j int) bool {
+		if faults[i].Line != faults[j].Line {
+			return faults[i].Line < faults[j].Line
+		}
+		return faults[i].Column < faults[j].Column
+	})
+	if len(faults) > maxFaults {
+		faults = faults[:maxFaults]
 	}
+	return faults
 }
