--- a/internal/control/planner_test.go
+++ b/internal/control/planner_test.go
@@ -92,7 +92,7 @@
 func TestDependantsDrainFirst(t *testing.T) {
 	s := newSites(1, true)
 	for i, dc := range []string{"n1", "n2", "s1"} {
-		s.addTarget(fmt.Sprintf("r%d", i), "reporting", dc, true)
+		s.addTarget(fmt.Sprintf("z%d", i), "reporting", dc, true)
 	}
 	text := strings.Replace(simText, "tenants:", "- {name: reporting, ownership: exclusive, slices: 6, endpoints: 3, slots: 6, "+
 		"depends_on: [{service: ledger, required: true}]}\ntenants:", 1)
@@ -229,3 +229,32 @@
 		t.Error("the target of the returned data centre owns no slice")
 	}
 }
+
+// Guards against slices that are taken from the targets of a region's only VM
+// while grants that its former process renewed may still be valid.
+func TestGrantsOutliveARestartOfTheOnlyVM(t *testing.T) {
+	s := smallState(t)
+	applyAll(t, s, Command{RegisterTarget: &Target{ID: "c", Service: "ledger", DataCentre: "s1", Incarnation: 1, State: Warm}},
+		dispatchOf("c", "w", 1, 1))
+	p, restart := NewPlanner("w"), 5*time.Second
+	p.Elected(0)
+	p.Heartbeat(restart-50*time.Millisecond, Heartbeat{VM: s.vms["v"], SentAt: restart})
+	restarted := s.vms["v"]
+	restarted.Incarnation++
+	for now := restart; now < restart+2*time.Second; now += 10 * time.Millisecond {
+		if now == restart {
+			p.Heartbeat(now, Heartbeat{VM: restarted, SentAt: 1})
+		}
+		p.Heartbeat(now, Heartbeat{VM: s.vms["w"], SentAt: now, Version: s.Version(),
+			Reports: []TargetReport{{Target: "c", Incarnation: 1, Epoch: 1, Reachable: true}}})
+		for _, c := range p.Plan(now, s) {
+			if c.Unassign != nil && c.Unassign.Slice == 1 {
+				if waited := now - restart; waited < contract.GrantExpiryWait {
+					t.Fatalf("slice 1 was taken %v after the restart", waited)
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("slice 1 was not taken although no VM can dispatch for its owner")
+}
