--- a/internal/session/loss_test.go
+++ b/internal/session/loss_test.go
@@ -1,7 +1,11 @@
 package session
 
 import (
+	"context"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +13,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/flamingoreel/flamingoreel/internal/standin"
+	"github.com/flamingoreel/flamingoreel/internal/vm"
 )
 
 // serviceTime is how long a slow target runs a request.
@@ -225,3 +230,69 @@
 		c.executed("club-celje", "dues-1")
 	})
 }
+
+// Guards against a replica that votes from an empty log after it lost its
+// disk, and against a repair that leaves the cluster without a spare: a second
+// VM fails right after the first one's repair.
+func TestSessionLostDisk(t *testing.T) {
+	session(t, "lost_disk", func(c *cluster) {
+		victim := c.follower()
+		old := c.replicaOf(victim)
+		c.killVM(victim)
+		if err := os.RemoveAll(filepath.Join(c.dir, victim)); err != nil {
+			c.t.Fatal(err)
+		}
+		c.startVM(victim)
+		took := c.eventually(20*time.Second, "replica under a new identity votes", func() bool {
+			id := c.replicaOf(victim)
+			return id != "" && id != old
+		})
+		c.logf("the VM that lost its disk votes again under a new identity: %v", took > 0)
+		leader := c.leader()
+		c.killVM(leader)
+		c.logf("control leader killed right after the repair")
+		via := c.eventuallyLeader()
+		c.logf("voters: %d", len(c.status(via).Voters))
+		second := ""
+		for _, v := range smallVMs {
+			if c.vms[v.name] != nil && v.name != victim && v.name != via {
+				second = v.name
+			}
+		}
+		c.killVM(second)
+		c.logf("a second VM killed")
+		via = c.eventuallyLeader()
+		number, _, _ := c.vms[via].Config(context.Background())
+		c.logf("configuration number with two of five voters lost: %d", number)
+		result, _, err := c.vms[via].ChangeConfig(context.Background(), number, []byte(smallText+"# changed\n"))
+		c.logf("a change is accepted: %v", err == nil && result.Accepted)
+	})
+}
+
+func (c *cluster) status(name string) vm.Status {
+	s, err := c.vms[name].Status(context.Background())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return s
+}
+
+// replicaOf returns the voting replica of a VM as the leader knows it.
+func (c *cluster) replicaOf(name string) string {
+	leader := c.leader()
+	if c.vms[leader] == nil {
+		return ""
+	}
+	for _, id := range c.status(leader).Voters {
+		if strings.HasPrefix(id, name+"/") {
+			return id
+		}
+	}
+	return ""
+}
+
+// eventuallyLeader waits until a live VM leads and returns it.
+func (c *cluster) eventuallyLeader() string {
+	c.eventually(3*time.Second, "a control leader", func() bool { return c.vms[c.leader()] != nil })
+	return c.leader()
+}
--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -233,14 +233,7 @@
 // save syncs a Ready. After a failed write the replica is silent for good: it
 // must not acknowledge what may not be on disk.
 func (l *loop) save(r consensus.Ready) bool {
-	var err error
-	if r.Snapshot != nil {
-		err = l.store.SaveSnapshot(*r.Snapshot)
-	}
-	if err == nil && (r.HardState != nil || len(r.Entries) > 0) {
-		err = l.store.Save(r.HardState, r.Entries)
-	}
-	if err != nil {
+	if err := l.store.SaveReady(r); err != nil {
 		l.fail(err, "storage failed, the replica stops acknowledging")
 		return false
 	}
--- a/internal/vm/status.go
+++ b/internal/vm/status.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -19,10 +20,14 @@
 	ConfigNumber uint64 `json:"config_number"`
 	// InForce is the lowest configuration number that VMs reported to the
 	// leader; it is 0 on a VM that is not the leader.
-	InForce uint64        `json:"in_force"`
-	VMs     []control.VM  `json:"vms"`
-	Targets []TargetState `json:"targets"`
-	Slices  []SliceState  `json:"slices"`
+	InForce uint64 `json:"in_force"`
+	// Voters and Learners are the replicas of the control log as this VM's
+	// replica knows them; empty on a VM without one.
+	Voters   []string      `json:"voters,omitempty"`
+	Learners []string      `json:"learners,omitempty"`
+	VMs      []control.VM  `json:"vms"`
+	Targets  []TargetState `json:"targets"`
+	Slices   []SliceState  `json:"slices"`
 }
 
 // TargetState is one target with its dispatch contract.
@@ -42,7 +47,7 @@
 }
 
 // Status describes the control state in force on this VM.
-func (v *VM) Status(_ context.Context) (Status, error) {
+func (v *VM) Status(ctx context.Context) (Status, error) {
 	table := v.Table()
 	leader, _ := v.leader.get(v.now())
 	s := Status{
@@ -63,7 +68,28 @@
 	}
 	sort.Slice(s.Targets, func(i, j int) bool { return s.Targets[i].ID < s.Targets[j].ID })
 	s.InForce = v.loop.inForce(table)
-	return s, nil
+	return s, v.addReplicas(ctx, &s)
+}
+
+// addReplicas adds the members of the control log.
+func (v *VM) addReplicas(ctx context.Context, s *Status) error {
+	members := make(chan consensus.Membership, 1)
+	v.loop.post(func() {
+		if v.loop.replica == nil {
+			members <- consensus.Membership{}
+			return
+		}
+		members <- v.loop.replica.Membership()
+	})
+	select {
+	case m := <-members:
+		s.Voters, s.Learners = m.Voters, m.Learners
+		return nil
+	case <-ctx.Done():
+		return errkind.New(errkind.AnswerTimeout, "the control goroutine did not answer in time")
+	case <-v.loop.ended:
+		return errkind.New(errkind.Stopping, "the VM stops")
+	}
 }
 
 // Config returns the operators' text in force on this VM.
