Check announced lengths before decoding everything that peers send

Cause: the decoder allocates a slice of structs by its announced length alone; eight bytes from a peer could exhaust memory. The check of the control log now serves all messages (package wire).

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // MembershipFault says why a membership change was refused.
@@ -143,7 +142,7 @@
 }
 
 func encodeMembership(m Membership) ([]byte, error) {
-	data, err := msgpack.Marshal(&m)
+	data, err := wire.Marshal(&m)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode membership")
 	}
@@ -153,7 +152,7 @@
 // DecodeMembership returns the membership that an EntryMembership carries.
 func DecodeMembership(e Entry) (Membership, error) {
 	var m Membership
-	if err := Unmarshal(e.Data, &m); err != nil {
+	if err := wire.Unmarshal(e.Data, &m); err != nil {
 		return Membership{}, errkind.Wrap(errkind.Internal, err, "decode membership at index %d", e.Index)
 	}
 	if fault := m.checkShape(); fault != nil {
--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -1,10 +1,9 @@
 package control
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/text"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // MaxCommandBytes is the largest encoded command: a configuration text of the
@@ -13,7 +12,7 @@
 
 // Encode returns the log entry of a command.
 func Encode(c Command) ([]byte, error) {
-	data, err := msgpack.Marshal(&c)
+	data, err := wire.Marshal(&c)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode command")
 	}
@@ -27,7 +26,7 @@
 	if len(data) > MaxCommandBytes {
 		return c, errkind.New(errkind.BadRequest, "command of %d bytes is too large", len(data))
 	}
-	if err := msgpack.Unmarshal(data, &c); err != nil {
+	if err := wire.Unmarshal(data, &c); err != nil {
 		return Command{}, errkind.Wrap(errkind.BadRequest, err, "decode command")
 	}
 	if n := c.fields(); n != 1 {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/text"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // snapshotFormat is the version of the snapshot encoding.
@@ -101,7 +102,7 @@
 // Restore reads a snapshot.
 func Restore(data []byte) (*State, error) {
 	var in snapshot
-	if err := msgpack.Unmarshal(data, &in); err != nil {
+	if err := wire.Unmarshal(data, &in); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "decode snapshot")
 	}
 	if in.Format != snapshotFormat {
--- a/internal/record/messages.go
+++ b/internal/record/messages.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // The methods that a holder serves.
@@ -101,7 +100,7 @@
 }
 
 func encode(v any) ([]byte, error) {
-	b, err := msgpack.Marshal(v)
+	b, err := wire.Marshal(v)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode %T", v)
 	}
@@ -109,7 +108,7 @@
 }
 
 func decode(b []byte, v any) error {
-	if err := msgpack.Unmarshal(b, v); err != nil {
+	if err := wire.Unmarshal(b, v); err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "decode %T", v)
 	}
 	return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,10 +6,10 @@
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/record"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // Methods of the link between entry and dispatcher.
@@ -98,7 +98,7 @@
 func (r *Request) KeyHash() uint64 { return contract.KeyHash(r.Tenant, r.Key) }
 
 // Encode returns the wire form of a message of this package.
-func Encode(message any) ([]byte, error) { return msgpack.Marshal(message) }
+func Encode(message any) ([]byte, error) { return wire.Marshal(message) }
 
 // Decode reads the wire form into message.
-func Decode(data []byte, message any) error { return msgpack.Unmarshal(data, message) }
+func Decode(data []byte, message any) error { return wire.Unmarshal(data, message) }
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -5,10 +5,9 @@
 	"errors"
 	"hash/crc32"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // A frame is magic, payload length and CRC, each 4 bytes little endian, then
@@ -98,7 +97,7 @@
 
 // appendRecord appends a record to b; start is the location of b.
 func appendRecord(b []byte, r record, start location) ([]byte, error) {
-	payload, err := msgpack.Marshal(&r)
+	payload, err := wire.Marshal(&r)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode log record")
 	}
@@ -113,7 +112,7 @@
 		return record{}, 0, err
 	}
 	var r record
-	if err := consensus.Unmarshal(payload, &r); err != nil {
+	if err := wire.Unmarshal(payload, &r); err != nil {
 		return record{}, 0, errDamagedFrame
 	}
 	return r, length, nil
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -3,10 +3,9 @@
 import (
 	"fmt"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 const snapshotFormat = "snapshot-%016x.snap"
@@ -31,7 +30,7 @@
 }
 
 func encodeSnapshot(snap consensus.Snapshot) ([]byte, error) {
-	payload, err := msgpack.Marshal(&snap)
+	payload, err := wire.Marshal(&snap)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode snapshot")
 	}
@@ -45,7 +44,7 @@
 		err = errDamagedFrame
 	}
 	if err == nil {
-		err = consensus.Unmarshal(payload, &snap)
+		err = wire.Unmarshal(payload, &snap)
 	}
 	if err != nil {
 		return snap, &DamageError{File: path, Reason: err.Error()}
--- a/internal/vm/handlers.go
+++ b/internal/vm/handlers.go
@@ -4,14 +4,13 @@
 	"context"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/dispatch"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/record"
 	"github.com/flamingoreel/flamingoreel/internal/relay"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // Methods of the links between VMs.
@@ -42,9 +41,9 @@
 }
 
 func (v *VM) handleReplica(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	var m consensus.Message
-	if err := msgpack.Unmarshal(payload, &m); err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "replica message")
+	m, err := consensus.DecodeMessage(payload)
+	if err != nil {
+		return nil, err
 	}
 	v.loop.post(func() {
 		if v.loop.running() && m.To == v.loop.replicaID {
@@ -57,7 +56,7 @@
 
 func (v *VM) handleHeartbeat(ctx context.Context, from string, payload []byte) ([]byte, error) {
 	var hb control.Heartbeat
-	if err := msgpack.Unmarshal(payload, &hb); err != nil || hb.VM.Name != from {
+	if err := wire.Unmarshal(payload, &hb); err != nil || hb.VM.Name != from {
 		return nil, errkind.New(errkind.BadRequest, "heartbeat is not valid")
 	}
 	return ask(ctx, v.loop, func() any { return v.loop.heartbeatReceived(hb) })
@@ -65,7 +64,7 @@
 
 func (v *VM) handlePush(_ context.Context, _ string, payload []byte) ([]byte, error) {
 	var p pushed
-	if err := msgpack.Unmarshal(payload, &p); err != nil {
+	if err := wire.Unmarshal(payload, &p); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "pushed commands")
 	}
 	v.loop.post(func() { v.loop.pushReceived(p) })
@@ -74,7 +73,7 @@
 
 func (v *VM) handleConfig(ctx context.Context, _ string, payload []byte) ([]byte, error) {
 	var req configRequest
-	if err := msgpack.Unmarshal(payload, &req); err != nil {
+	if err := wire.Unmarshal(payload, &req); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "configuration change")
 	}
 	results := make(chan proposalResult, 1)
@@ -87,7 +86,7 @@
 		if r.change == nil {
 			return nil, errkind.New(errkind.Internal, "the change has no result")
 		}
-		return msgpack.Marshal(configReply{Result: *r.change})
+		return wire.Marshal(configReply{Result: *r.change})
 	case <-ctx.Done():
 		return nil, errkind.New(errkind.AnswerTimeout, "the change was not confirmed in time")
 	}
@@ -125,7 +124,7 @@
 	l.post(func() { answers <- f() })
 	select {
 	case a := <-answers:
-		return msgpack.Marshal(a)
+		return wire.Marshal(a)
 	case <-ctx.Done():
 		return nil, errkind.New(errkind.AnswerTimeout, "the control goroutine did not answer in time")
 	case <-l.ended:
--- a/internal/vm/heartbeat.go
+++ b/internal/vm/heartbeat.go
@@ -5,10 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/control"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // heartbeatTimeout bounds one heartbeat; a later answer could only give a
@@ -68,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	hb := v.buildHeartbeat()
-	payload, err := msgpack.Marshal(hb)
+	payload, err := wire.Marshal(hb)
 	if err != nil {
 		return
 	}
@@ -77,7 +76,7 @@
 		return
 	}
 	var renewal control.Renewal
-	if err := msgpack.Unmarshal(data, &renewal); err != nil {
+	if err := wire.Unmarshal(data, &renewal); err != nil {
 		return
 	}
 	v.leader.note(renewal.Leader, renewal.Granted, v.now())
--- a/internal/vm/leader.go
+++ b/internal/vm/leader.go
@@ -5,11 +5,10 @@
 	"sort"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/text"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // heartbeatReceived answers a heartbeat. Only a leader with a valid leader
@@ -132,7 +131,7 @@
 	if leader == "" {
 		return control.ChangeResult{}, nil, errkind.New(errkind.NotLeader, "the control leader is not known")
 	}
-	payload, err := msgpack.Marshal(configRequest{control.ChangeConfig{Base: base, Text: content}})
+	payload, err := wire.Marshal(configRequest{control.ChangeConfig{Base: base, Text: content}})
 	if err != nil {
 		return control.ChangeResult{}, nil, errkind.From(err)
 	}
@@ -141,7 +140,7 @@
 		return control.ChangeResult{}, nil, errkind.From(err)
 	}
 	var reply configReply
-	if err := msgpack.Unmarshal(data, &reply); err != nil {
+	if err := wire.Unmarshal(data, &reply); err != nil {
 		return control.ChangeResult{}, nil, errkind.From(err)
 	}
 	return reply.Result, reply.Faults, nil
--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/storage"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // Sizes and intervals of the control goroutine.
@@ -325,7 +325,7 @@
 	if len(commands) == 0 || l.planner == nil {
 		return
 	}
-	payload, err := msgpack.Marshal(pushed{Before: before, Commands: commands})
+	payload, err := wire.Marshal(pushed{Before: before, Commands: commands})
 	if err != nil {
 		return
 	}
@@ -378,7 +378,7 @@
 
 func (l *loop) send(messages []consensus.Message) {
 	for _, m := range messages {
-		payload, err := msgpack.Marshal(m)
+		payload, err := consensus.EncodeMessage(m)
 		if err != nil {
 			l.logger.WithError(err).Error("message cannot be encoded")
 			continue
--- a/internal/vm/replica.go
+++ b/internal/vm/replica.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/storage"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // Time limits of the replica. The leader lease is shorter than the shortest
@@ -132,7 +132,7 @@
 	if err != nil {
 		return info, err
 	}
-	return info, msgpack.Unmarshal(data, &info)
+	return info, wire.Unmarshal(data, &info)
 }
 
 // startReplica starts the replica from what storage recovered. initial is the
