--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -42,8 +42,8 @@
 	unsent   int
 }
 
-// keyHistory finds the time in which one key was not served: from the start of
-// a failed request to the end of the next answered one.
+// keyHistory holds the time in which one key was not served: from the start of
+// a failed request to the end of the first answered probe after it.
 type keyHistory struct {
 	failedSince time.Duration
 	failing     bool
@@ -92,7 +92,7 @@
 	if q.id != "" {
 		r.postings = append(r.postings, Posting{ID: q.id, Service: q.stream.Service, Outcome: outcome})
 	}
-	r.history(q).add(outcome == errkind.Answered, at, at+took)
+	r.history(q)
 }
 
 func (r *Result) observe(service string, took time.Duration) {
@@ -114,16 +114,28 @@
 	return h
 }
 
-func (h *keyHistory) add(answered bool, start, end time.Duration) {
-	switch {
-	case !answered && !h.failing:
-		h.failing, h.failedSince = true, start
-	case answered && h.failing:
-		h.failing = false
-		gap := end - h.failedSince
-		h.unavailable += gap
-		h.longest = max(h.longest, gap)
+// beginProbe notes that a key failed and reports whether it is not being
+// probed yet.
+func (r *Result) beginProbe(q request, at time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.history(q)
+	if h.failing {
+		return false
 	}
+	h.failing, h.failedSince = true, at
+	return true
+}
+
+// endProbe notes that a probed key was served again.
+func (r *Result) endProbe(q request, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.history(q)
+	gap := at - h.failedSince
+	h.failing = false
+	h.unavailable += gap
+	h.longest = max(h.longest, gap)
 }
 
 // Postings returns the final outcome of every posting.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -109,6 +109,33 @@
 		outcome, kind = r.resolve(ctx, q, via+n, started, outcome)
 	}
 	r.result.add(q, outcome, kind, started.Sub(r.began), time.Since(started))
+	if outcome != errkind.Answered {
+		r.probe(ctx, q, via, started)
+	}
+}
+
+// Bounds of the probes after a failed request.
+const (
+	probePause = 20 * time.Millisecond
+	probeLimit = 30 * time.Second
+)
+
+// probe reads the key of a failed request again and again until it is
+// answered, so that the time in which the key is not served is measured to
+// within one pause and not until the next request that happens to come.
+func (r *runner) probe(ctx context.Context, q request, via int, failed time.Time) {
+	read := request{stream: q.stream, key: q.key}
+	if !r.result.beginProbe(read, failed.Sub(r.began)) {
+		return
+	}
+	for time.Since(failed) < probeLimit && ctx.Err() == nil {
+		if outcome, _ := r.attempt(ctx, read, via, time.Now()); outcome == errkind.Answered {
+			r.result.endProbe(read, time.Since(r.began))
+			return
+		}
+		via++
+		time.Sleep(probePause)
+	}
 }
 
 // resolve sends a posting again. Once an attempt ended with an unknown
