--- a/internal/routing/recent.go
+++ b/internal/routing/recent.go
@@ -14,6 +14,10 @@
 	// hedgeQuantile is the quantile of recent latency after which a request is
 	// hedged.
 	hedgeQuantile = 0.95
+	// hedgeMedianFactor keeps hedges from requests that take the usual time: with
+	// nearly constant latency the p95 is the median, and hedges at the p95 would
+	// use up the budget before a straggler appears.
+	hedgeMedianFactor = 1.5
 	// recentCount is the number of latencies that are kept.
 	recentCount = 512
 	// recentMin is the number from which on the quantile is used.
@@ -55,7 +59,8 @@
 func (r *recent) median() time.Duration { return r.quantile(0.5) }
 
 // HedgeAfter returns the time after which a request that has no answer yet is
-// hedged: the p95 of recent latency, between HedgeMin and HedgeMax.
+// hedged: the p95 of recent latency, but at least hedgeMedianFactor times its
+// median, between HedgeMin and HedgeMax.
 func (s *Selector) HedgeAfter(now time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -63,5 +68,6 @@
 	if s.recent.count < recentMin {
 		return HedgeMax
 	}
-	return min(max(s.recent.quantile(hedgeQuantile), HedgeMin), HedgeMax)
+	usual := time.Duration(hedgeMedianFactor * float64(s.recent.median()))
+	return min(max(s.recent.quantile(hedgeQuantile), usual, HedgeMin), HedgeMax)
 }
--- a/internal/session/cluster_test.go
+++ b/internal/session/cluster_test.go
@@ -41,19 +41,22 @@
 	vms     map[string]*vm.VM
 	servers map[string]*http.Server
 	targets map[string]*standin.Target
-	client  *http.Client
-	dir     string
-	starts  uint64
-	began   time.Time
-	number  uint64
-	out     bytes.Buffer
+	// registries hold the metrics of each VM.
+	registries map[string]*prometheus.Registry
+	client     *http.Client
+	dir        string
+	starts     uint64
+	began      time.Time
+	number     uint64
+	out        bytes.Buffer
 }
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{
 		t: t, net: newNetwork(), ledger: standin.NewLedger(),
 		vms: make(map[string]*vm.VM), servers: make(map[string]*http.Server), targets: make(map[string]*standin.Target),
-		dir: t.TempDir(), began: time.Now(),
+		registries: make(map[string]*prometheus.Registry),
+		dir:        t.TempDir(), began: time.Now(),
 	}
 	c.client = &http.Client{Transport: &http.Transport{DialContext: c.net.dialer("caller"), DisableKeepAlives: true}}
 	for _, v := range smallVMs {
@@ -96,7 +99,8 @@
 	cfg.DialTarget = c.net.dialer(host)
 	cfg.DialLink = func(ctx context.Context, addr string) (net.Conn, error) { return c.net.dial(ctx, host, addr) }
 	cfg.Logger = &log.Logger{Handler: discard.New()}
-	cfg.Registry = prometheus.NewRegistry()
+	c.registries[name] = prometheus.NewRegistry()
+	cfg.Registry = c.registries[name]
 	v, err := vm.New(cfg)
 	if err != nil {
 		c.t.Fatalf("VM %s: %v", name, err)
@@ -205,10 +209,16 @@
 	})
 }
 
-// leader returns the name of the control leader.
+// leader returns the control leader that the first VM with a lease knows, or
+// an empty string while that one is dead or unknown.
 func (c *cluster) leader() string {
-	for _, v := range c.vms {
-		if s, err := v.Status(context.Background()); err == nil && s.LeaseValid {
+	for _, v := range smallVMs {
+		node := c.vms[v.name]
+		if node == nil {
+			continue
+		}
+		s, err := node.Status(context.Background())
+		if err == nil && s.LeaseValid && c.vms[s.Leader] != nil {
 			return s.Leader
 		}
 	}
--- a/internal/session/loss_test.go
+++ b/internal/session/loss_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -245,7 +246,7 @@
 		c.startVM(victim)
 		took := c.eventually(20*time.Second, "replica under a new identity votes", func() bool {
 			id := c.replicaOf(victim)
-			return id != "" && id != old
+			return id != "" && id != old && c.allKnowVoter(id)
 		})
 		c.logf("the VM that lost its disk votes again under a new identity: %v", took > 0)
 		leader := c.leader()
@@ -280,7 +281,7 @@
 // replicaOf returns the voting replica of a VM as the leader knows it.
 func (c *cluster) replicaOf(name string) string {
 	leader := c.leader()
-	if c.vms[leader] == nil {
+	if leader == "" {
 		return ""
 	}
 	for _, id := range c.status(leader).Voters {
@@ -291,8 +292,22 @@
 	return ""
 }
 
+// allKnowVoter reports whether every VM's replica counts the voter.
+func (c *cluster) allKnowVoter(id string) bool {
+	for name := range c.vms {
+		if s := c.status(name); !slices.Contains(s.Voters, id) || len(s.Voters) != len(smallVMs) {
+			return false
+		}
+	}
+	return true
+}
+
 // eventuallyLeader waits until a live VM leads and returns it.
 func (c *cluster) eventuallyLeader() string {
-	c.eventually(3*time.Second, "a control leader", func() bool { return c.vms[c.leader()] != nil })
-	return c.leader()
+	leader := ""
+	c.eventually(3*time.Second, "a control leader", func() bool {
+		leader = c.leader()
+		return leader != ""
+	})
+	return leader
 }
--- a/internal/vm/leader.go
+++ b/internal/vm/leader.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/text"
@@ -125,23 +126,60 @@
 	if _, faults := text.Parse(content); len(faults) > 0 {
 		return control.ChangeResult{}, faults, errkind.New(errkind.InvalidText, "the text has %d faults", len(faults))
 	}
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
-	defer cancel()
-	leader, _ := v.leader.get(v.now())
-	if leader == "" {
-		return control.ChangeResult{}, nil, errkind.New(errkind.NotLeader, "the control leader is not known")
-	}
 	payload, err := wire.Marshal(configRequest{control.ChangeConfig{Base: base, Text: content}})
 	if err != nil {
 		return control.ChangeResult{}, nil, errkind.From(err)
 	}
-	data, err := v.links.Call(ctx, leader, methodConfig, payload)
-	if err != nil {
-		return control.ChangeResult{}, nil, errkind.From(err)
+	ctx, cancel := context.WithTimeout(ctx, configTimeout)
+	defer cancel()
+	reply, failure := v.sendChange(ctx, payload)
+	return reply.Result, reply.Faults, failure
+}
+
+// sendChange sends a change to the control leader. It looks for the leader
+// again after every error: a change that was accepted before its answer was
+// lost gets the first answer, so that sending it again is safe.
+func (v *VM) sendChange(ctx context.Context, payload []byte) (configReply, *errkind.Error) {
+	failure := errkind.New(errkind.NotLeader, "the control leader is not known")
+	for {
+		for _, name := range v.leaderCandidates() {
+			reply, err := v.callLeader(ctx, name, payload)
+			if err == nil {
+				return reply, nil
+			}
+			if failure.Outcome() == errkind.NotRun {
+				failure = err
+			}
+		}
+		if !pause(ctx, contract.HeartbeatInterval) {
+			return configReply{}, failure
+		}
+	}
+}
+
+// leaderCandidates returns the VM that led last and then all voters.
+func (v *VM) leaderCandidates() []string {
+	hint, _ := v.leader.get(v.now())
+	names := []string{}
+	if hint != "" {
+		names = append(names, hint)
+	}
+	for _, voter := range v.cfg.Voters {
+		if voter != hint {
+			names = append(names, voter)
+		}
 	}
+	return names
+}
+
+func (v *VM) callLeader(ctx context.Context, name string, payload []byte) (configReply, *errkind.Error) {
 	var reply configReply
+	data, err := v.links.Call(ctx, name, methodConfig, payload)
+	if err != nil {
+		return reply, errkind.From(err)
+	}
 	if err := wire.Unmarshal(data, &reply); err != nil {
-		return control.ChangeResult{}, nil, errkind.From(err)
+		return reply, errkind.From(err)
 	}
-	return reply.Result, reply.Faults, nil
+	return reply, nil
 }
