Split and merge only slices that have no work in flight

A split of an owned slice left work in flight under the identifier of the whole range. Dispatchers and targets count work by identifier, so the part with the hot hash could be handed over while a long request for it still ran, which is a second owner. A hot slice is now drained first, cut while it is unassigned, and the parts beside the hot hash return to their owner; a cold fragment is drained and joined to its neighbour while unassigned.

--- a/internal/control/apply_slices.go
+++ b/internal/control/apply_slices.go
@@ -153,10 +153,12 @@
 	return true
 }
 
-// split cuts an owned slice after a hash. The left part keeps the identifier.
+// split cuts an unassigned slice after a hash. The left part keeps the
+// identifier. No work of an unassigned slice is in flight, so work that carries
+// an identifier always belongs to the slice's present range.
 func (s *State) split(c Split) bool {
 	entry, ok := s.at(SliceChange{Slice: c.Slice, Fence: c.Fence})
-	if !ok || entry.Assignment.Phase != contract.Owned {
+	if !ok || entry.Assignment.Phase != contract.Unassigned {
 		return false
 	}
 	if c.At < entry.Slice.Lo || c.At >= entry.Slice.Hi {
@@ -170,11 +172,8 @@
 	right.Lo = c.At + 1
 	entry.Slice.Hi = c.At
 	id := s.addSlice(right)
-	assignment := entry.Assignment
-	assignment.Slice = id
-	s.slices[id].Assignment = assignment
-	i := s.position(g, c.Slice)
-	g.ids = slices.Insert(g.ids, i+1, id)
+	s.slices[id].Assignment.Fence = entry.Assignment.Fence
+	g.ids = slices.Insert(g.ids, s.position(g, c.Slice)+1, id)
 	return true
 }
 
@@ -184,8 +183,9 @@
 	return sort.Search(len(g.ids), func(i int) bool { return s.slices[g.ids[i]].Slice.Lo >= lo })
 }
 
-// merge joins two owned neighbours of the same owner. The left identifier
-// stays and the result has the higher fence of the two.
+// merge joins an unassigned slice with a neighbour that is owned or unassigned
+// too. The result is the neighbour, or the left one of two unassigned slices,
+// with the higher fence of the two.
 func (s *State) merge(c Merge) bool {
 	left, ok := s.slices[c.Left]
 	if !ok {
@@ -195,26 +195,30 @@
 	if !ok || !mergeable(*left, *right) {
 		return false
 	}
+	kept, dropped := left, right
+	if right.Assignment.Phase == contract.Owned {
+		kept, dropped = right, left
+	}
 	g := s.change(left.Slice)
-	i := s.position(g, c.Right)
+	i := s.position(g, dropped.Slice.ID)
 	g.ids = slices.Delete(g.ids, i, i+1)
-	left.Slice.Hi = right.Slice.Hi
-	left.Assignment.Fence = max(left.Assignment.Fence, right.Assignment.Fence)
-	delete(s.slices, c.Right)
+	kept.Slice.Lo, kept.Slice.Hi = left.Slice.Lo, right.Slice.Hi
+	kept.Assignment.Fence = max(left.Assignment.Fence, right.Assignment.Fence)
+	delete(s.slices, dropped.Slice.ID)
 	return true
 }
 
-// mergeable reports whether two slices are neighbours with one owner.
+// neighbours reports whether the right slice follows the left one.
+func neighbours(left, right contract.Slice) bool {
+	return keyOf(left) == keyOf(right) && left.Hi != math.MaxUint64 && left.Hi+1 == right.Lo
+}
+
+// mergeable reports whether two slices are neighbours of which one is
+// unassigned and the other owned or unassigned.
 func mergeable(left, right ContractSlice) bool {
-	if left.Slice.Service != right.Slice.Service || left.Slice.Residency != right.Slice.Residency {
-		return false
-	}
-	if left.Slice.Hi == math.MaxUint64 || left.Slice.Hi+1 != right.Slice.Lo {
-		return false
-	}
-	a, b := left.Assignment, right.Assignment
-	if a.Phase != contract.Owned || b.Phase != contract.Owned {
+	a, b := left.Assignment.Phase, right.Assignment.Phase
+	if a != contract.Unassigned && b != contract.Unassigned {
 		return false
 	}
-	return a.Target == b.Target && a.Incarnation == b.Incarnation
+	return neighbours(left.Slice, right.Slice) && a <= contract.Owned && b <= contract.Owned
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -63,9 +63,7 @@
 	State        TargetState `msgpack:"s"`
 	InFlight     int         `msgpack:"f"`
 	// Stopped lists draining and held slices that have no work in flight and
-	// that the target confirmed as revoked. Work in flight is counted by hash,
-	// not by slice, because a split or merge may have changed the slice since
-	// the work was sent.
+	// that the target confirmed as revoked.
 	Stopped []contract.SliceFence `msgpack:"p"`
 	// HotHashes lists hashes that each take more than a tenth of the target's
 	// requests, hottest first, with their share in HotShares.
@@ -184,15 +182,17 @@
 	Fence contract.Fence   `msgpack:"f"`
 }
 
-// Split cuts a slice after hash At. Both parts keep owner, phase and fence.
+// Split cuts an unassigned slice after hash At. Both parts keep the fence. The
+// left part keeps the identifier.
 type Split struct {
 	Slice contract.SliceID `msgpack:"s"`
 	Fence contract.Fence   `msgpack:"f"`
 	At    uint64           `msgpack:"a"`
 }
 
-// Merge joins two neighbours with the same owner, incarnation and phase; the
-// result has the higher fence of the two.
+// Merge joins two neighbours of which at least one is unassigned and the other
+// owned or unassigned. The result has the identifier and owner of the owned one
+// and the higher fence of the two.
 type Merge struct {
 	Left  contract.SliceID `msgpack:"l"`
 	Right contract.SliceID `msgpack:"r"`
--- a/internal/control/pending.go
+++ b/internal/control/pending.go
@@ -82,7 +82,14 @@
 
 // Applied tells the planner that a command was applied to the state.
 func (p *Planner) Applied(_ *State, c Command) {
-	key := pendingKeyOf(c)
+	p.applied(pendingKeyOf(c))
+	if c.Merge != nil {
+		p.applied(sliceKey(c.Merge.Right))
+	}
+}
+
+// applied counts one command in flight for the object as applied.
+func (p *Planner) applied(key pendingKey) {
 	entry, ok := p.pending[key]
 	if !ok {
 		return
--- a/internal/control/plan_assign.go
+++ b/internal/control/plan_assign.go
@@ -123,7 +123,7 @@
 		return nil, false
 	}
 	l := r.loadOf(entry.Slice.Service)
-	if c, ok := l.byID[r.p.preferred[entry.Slice.ID]]; ok && r.allowed(c, entry) {
+	if c, ok := l.byID[r.preferredOwner(entry)]; ok && r.allowed(c, entry) {
 		return c, true
 	}
 	weight := r.weight(entry)
@@ -161,6 +161,10 @@
 		if r.p.inFlight(sliceKey(entry.Slice.ID)) || r.waitsForTargets(entry) {
 			continue
 		}
+		if split, ok := r.splitFor(entry); ok {
+			r.propose(split)
+			continue
+		}
 		c, ok := r.place(entry)
 		if !ok {
 			continue
--- a/internal/control/plan_cleanup.go
+++ b/internal/control/plan_cleanup.go
@@ -110,6 +110,12 @@
 			r.p.announcedIDs = nil
 		}
 	}
+	for id := range r.p.joins {
+		entry, ok := r.s.slices[id]
+		if !ok || (entry.Assignment.Phase != contract.Draining && !r.p.inFlight(sliceKey(id))) {
+			delete(r.p.joins, id)
+		}
+	}
 	for id := range r.p.preferred {
 		entry, ok := r.s.slices[id]
 		if !ok || (entry.Assignment.Phase == contract.Owned && !r.p.inFlight(sliceKey(id))) {
--- a/internal/control/plan_drain.go
+++ b/internal/control/plan_drain.go
@@ -178,6 +178,9 @@
 // one batch. An owned slice without another target to take it stays.
 func (r *round) reassign(entry *ContractSlice) bool {
 	unassign := Command{Unassign: changeOf(entry)}
+	if follow, ok := r.reshape(entry); ok {
+		return r.propose(unassign, follow)
+	}
 	to, ok := r.place(entry)
 	if !ok {
 		if entry.Assignment.Phase == contract.Owned && r.s.layout.wants(keyOf(entry.Slice)) {
--- a/internal/control/plan_hot.go
+++ b/internal/control/plan_hot.go
@@ -1,7 +1,9 @@
 package control
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/contract"
@@ -97,12 +99,7 @@
 		}
 		keys = append(keys, key)
 	}
-	sort.Slice(keys, func(i, j int) bool {
-		if keys[i].hash != keys[j].hash {
-			return keys[i].hash < keys[j].hash
-		}
-		return keys[i].target < keys[j].target
-	})
+	slices.SortFunc(keys, compareHot)
 	return keys
 }
 
@@ -120,8 +117,20 @@
 	return nil
 }
 
-// splitHot gives each hot hash of a loaded target a slice of its own, in two
-// steps: first a cut before the hash, then one after it.
+// cut is a split in progress: the drained slice is cut before and after the hot
+// hash, and the parts beside it return to the owner.
+type cut struct {
+	group  groupKey
+	lo, hi uint64
+	owner  string
+	until  time.Duration
+}
+
+// cutLimit is how long a split may take.
+const cutLimit = 10 * time.Second
+
+// splitHot drains the slices of the hot hashes of loaded targets, so that each
+// hash gets a slice of its own.
 func (r *round) splitHot() {
 	r.locateHot()
 	for _, key := range r.hotKeys() {
@@ -133,22 +142,87 @@
 		if entry == nil || entry.Assignment.Phase != contract.Owned {
 			continue
 		}
-		g := r.s.groups[keyOf(entry.Slice)]
-		if len(g.ids) >= g.initial+maxExtraSlices {
+		if _, ok := cutFor(entry.Slice, key.hash); ok {
+			r.startCut(key, entry)
+		}
+	}
+}
+
+func (r *round) startCut(key hotKey, entry *ContractSlice) {
+	g := r.s.groups[keyOf(entry.Slice)]
+	budget := r.budget(entry.Slice.Service)
+	if len(g.ids) >= g.initial+maxExtraSlices || budget.available(r.now) < 1 {
+		return
+	}
+	if !r.propose(Command{Drain: changeOf(entry)}) {
+		return
+	}
+	budget.take()
+	r.p.cuts[key] = cut{
+		group: g.key, lo: entry.Slice.Lo, hi: entry.Slice.Hi,
+		owner: entry.Assignment.Target, until: r.now + cutLimit,
+	}
+}
+
+// cutKeys returns the hashes of the splits in progress in order.
+func (p *Planner) cutKeys() []hotKey {
+	keys := slices.Collect(maps.Keys(p.cuts))
+	slices.SortFunc(keys, compareHot)
+	return keys
+}
+
+func compareHot(a, b hotKey) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.target, b.target))
+}
+
+// splitFor returns the next cut of an unassigned slice that is being split.
+func (r *round) splitFor(entry *ContractSlice) (Command, bool) {
+	for _, key := range r.p.cutKeys() {
+		c := r.p.cuts[key]
+		if r.now >= c.until {
+			delete(r.p.cuts, key)
+			continue
+		}
+		if c.group != keyOf(entry.Slice) || !entry.Slice.Contains(key.hash) {
 			continue
 		}
 		if at, ok := cutFor(entry.Slice, key.hash); ok {
 			split := Split{Slice: entry.Slice.ID, Fence: entry.Assignment.Fence, At: at}
-			if r.propose(Command{Split: &split}) {
-				r.p.nextBalance = r.now + splitInterval
-			}
+			return Command{Split: &split}, true
 		}
 	}
+	return Command{}, false
 }
 
-// splitInterval is the time from a split to the next round, which makes the
-// second cut.
-const splitInterval = 100 * time.Millisecond
+// reshape returns the command that changes the range of a slice when its owner
+// stopped: the first cut of a split, or a merge.
+func (r *round) reshape(entry *ContractSlice) (Command, bool) {
+	if split, ok := r.splitFor(entry); ok {
+		return split, true
+	}
+	other, ok := r.s.slices[r.p.joins[entry.Slice.ID]]
+	if !ok || other.Assignment.Phase != contract.Owned {
+		return Command{}, false
+	}
+	if neighbours(entry.Slice, other.Slice) {
+		return Command{Merge: &Merge{Left: entry.Slice.ID, Right: other.Slice.ID}}, true
+	}
+	return Command{Merge: &Merge{Left: other.Slice.ID, Right: entry.Slice.ID}}, neighbours(other.Slice, entry.Slice)
+}
+
+// preferredOwner returns the target that a slice is meant for, empty if any
+// will do. The parts beside a hot hash return to their owner.
+func (r *round) preferredOwner(entry *ContractSlice) string {
+	if entry.Assignment.Phase == contract.Unassigned && entry.Slice.Lo != entry.Slice.Hi {
+		for _, key := range r.p.cutKeys() {
+			c := r.p.cuts[key]
+			if c.group == keyOf(entry.Slice) && c.lo <= entry.Slice.Lo && entry.Slice.Hi <= c.hi {
+				return c.owner
+			}
+		}
+	}
+	return r.p.preferred[entry.Slice.ID]
+}
 
 // cutFor returns the hash after which a slice is cut to isolate a hash.
 func cutFor(slice contract.Slice, hash uint64) (uint64, bool) {
@@ -171,7 +245,7 @@
 		g := r.s.groups[key]
 		merges := 0
 		for i := 0; i+1 < len(g.ids) && len(g.ids) > g.initial && merges < mergesPerRound; i++ {
-			if r.mergePair(g, *r.s.slices[g.ids[i]], *r.s.slices[g.ids[i+1]]) {
+			if r.mergePair(g, r.s.slices[g.ids[i]], r.s.slices[g.ids[i+1]]) {
 				merges++
 				i++
 			}
@@ -179,9 +253,9 @@
 	}
 }
 
-// mergePair proposes to merge two cold neighbours within one of the ranges
-// that the group started with.
-func (r *round) mergePair(g *group, left, right ContractSlice) bool {
+// mergePair drains the narrower of two cold neighbours within one of the
+// ranges that the group started with; once stopped, it joins the other.
+func (r *round) mergePair(g *group, left, right *ContractSlice) bool {
 	width := cellWidth(g.initial)
 	if left.Slice.Lo/width != right.Slice.Hi/width {
 		return false
@@ -189,32 +263,21 @@
 	if r.p.hotWeight(left.Slice) > 0 || r.p.hotWeight(right.Slice) > 0 {
 		return false
 	}
-	if r.p.inFlight(sliceKey(right.Slice.ID)) {
-		return false
-	}
-	if !mergeable(left, right) {
-		r.gather(left, right)
-		return false
-	}
-	return r.propose(Command{Merge: &Merge{Left: left.Slice.ID, Right: right.Slice.ID}})
-}
-
-// gather moves the narrower of two cold neighbours to the other's owner, so
-// that they can be merged.
-func (r *round) gather(left, right ContractSlice) {
 	narrow, wide := left, right
 	if right.Slice.Hi-right.Slice.Lo < left.Slice.Hi-left.Slice.Lo {
 		narrow, wide = right, left
 	}
 	if narrow.Assignment.Phase != contract.Owned || wide.Assignment.Phase != contract.Owned {
-		return
+		return false
 	}
 	budget := r.budget(narrow.Slice.Service)
-	if budget.available(r.now) < 1 {
-		return
+	if r.p.inFlight(sliceKey(wide.Slice.ID)) || budget.available(r.now) < 1 {
+		return false
 	}
-	if r.propose(Command{Drain: changeOf(&narrow)}) {
-		budget.take()
-		r.p.preferred[narrow.Slice.ID] = wide.Assignment.Target
+	if !r.propose(Command{Drain: changeOf(narrow)}) {
+		return false
 	}
+	budget.take()
+	r.p.joins[narrow.Slice.ID] = wide.Slice.ID
+	return true
 }
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -41,6 +41,10 @@
 	settled map[string]settledDispatch
 	// orders are the targets that each VM is asked to probe.
 	orders map[string][]string
+	// cuts are the hashes for which slices are being split.
+	cuts map[hotKey]cut
+	// joins are the neighbours that drained slices will be merged with.
+	joins map[contract.SliceID]contract.SliceID
 	// preferred is the target that a drained slice is meant for.
 	preferred map[contract.SliceID]string
 
@@ -79,6 +83,8 @@
 		settled:      map[string]settledDispatch{},
 		orders:       map[string][]string{},
 		preferred:    map[contract.SliceID]string{},
+		cuts:         map[hotKey]cut{},
+		joins:        map[contract.SliceID]contract.SliceID{},
 		knownSince:   map[string]knownIncarnation{},
 		idleSince:    map[string]time.Duration{},
 		holdersSince: map[uint64]time.Duration{},
--- a/internal/control/sim_fakes_test.go
+++ b/internal/control/sim_fakes_test.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		granted = append(granted, entry)
-		if !g.busy(entry.Slice) {
+		if !g.busy(entry.Slice.ID) {
 			ending = append(ending, entry)
 		}
 	}
@@ -199,8 +199,8 @@
 	})
 }
 
-func (g *simGrant) busy(slice contract.Slice) bool {
-	return slices.ContainsFunc(g.inFlight, func(w *simWork) bool { return slice.Contains(w.hash) })
+func (g *simGrant) busy(id contract.SliceID) bool {
+	return slices.ContainsFunc(g.inFlight, func(w *simWork) bool { return w.slice == id })
 }
 
 // work sends a request of a random owned slice.
@@ -332,7 +332,7 @@
 func (t *simTarget) revoke(ending []ContractSlice) []contract.SliceFence {
 	var stopped []contract.SliceFence
 	for _, e := range ending {
-		if slices.ContainsFunc(t.queue, func(w *simWork) bool { return e.Slice.Contains(w.hash) }) {
+		if slices.ContainsFunc(t.queue, func(w *simWork) bool { return e.Slice.ID == w.slice }) {
 			continue
 		}
 		t.revoked[e.Slice.ID] = max(t.revoked[e.Slice.ID], e.Assignment.Fence)
@@ -382,6 +382,11 @@
 				out = append(out, claim{e.Slice.Lo, e.Slice.Hi, t.ID})
 			}
 		}
+		for _, w := range t.queue {
+			if w.epoch == t.epoch && t.grants(w.slice, w.fence, now) {
+				out = append(out, claim{w.hash, w.hash, t.ID})
+			}
+		}
 		return out
 	}
 	for _, w := range t.queue {
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -77,8 +77,8 @@
 		assignSlice(4, "a", 2, 0), assignSlice(4, "a", 2, 2), assignSlice(4, "a", 1, 1), assignSlice(1, "b", 2, 4),
 		{Drain: at(1, 2)}, {Drain: at(2, 1)}, {Unassign: at(1, 3)}, {Unassign: at(2, 2)}, {Unassign: at(4, 0)},
 		{Hold: at(1, 2)}, {Hold: at(4, 0)},
-		{Split: &Split{Slice: 1, Fence: 2, At: 5}}, {Split: &Split{Slice: 2, Fence: 1, At: 1 << 62}},
-		{Merge: &Merge{Left: 1, Right: 2}}, {Merge: &Merge{Left: 2, Right: 3}}, {Merge: &Merge{Left: 1, Right: 3}},
+		{Split: &Split{Slice: 1, Fence: 3, At: 5}}, {Split: &Split{Slice: 4, Fence: 1, At: 5}}, {Split: &Split{Slice: 4, At: 5}},
+		{Merge: &Merge{Left: 1, Right: 2}}, {Merge: &Merge{Left: 2, Right: 3}}, {Merge: &Merge{Left: 1, Right: 3}}, {Merge: &Merge{Left: 3, Right: 5}}, {Merge: &Merge{Left: 3, Right: 2}},
 		{ForgetHolders: &ForgetHolders{Before: 0}}, {AddResidency: &AddResidency{Service: "ledger"}},
 	}
 	s := smallState(t)
