Hold the slices of unreachable targets that do not check grants, and return them

No grant of a target that does not check grants can be reported as expired, so its slices were never held and requests ran into the lost target. The leader now holds them once the dispatcher failed to reach the target for as long as a grant is valid.

--- a/internal/control/apply_members.go
+++ b/internal/control/apply_members.go
@@ -49,7 +49,7 @@
 }
 
 func (s *State) releaseFrom(t Target, entry *ContractSlice) {
-	if t.ChecksGrants || entry.Assignment.Phase == contract.Held {
+	if t.ChecksGrants {
 		s.release(entry)
 		return
 	}
@@ -69,10 +69,10 @@
 }
 
 // releaseOlder takes the slices from older incarnations of the target. A new
-// process that checks grants refuses work meant for the older one, and nobody
-// sends work of a held slice; these slices are unassigned. A new process that
-// does not check would run work from a dispatcher that does not know of it
-// yet; such slices drain until the dispatcher does.
+// process that checks grants refuses work meant for the older one; its slices
+// are unassigned. A new process that does not check would run work from a
+// dispatcher that does not know of it yet; such slices, also held ones, drain
+// until the new process takes them or the dispatcher knows.
 func (s *State) releaseOlder(t Target) {
 	for _, key := range s.groupKeys() {
 		for _, id := range s.groups[key].ids {
--- a/internal/control/plan_drain.go
+++ b/internal/control/plan_drain.go
@@ -108,10 +108,12 @@
 	}
 }
 
-// resume gives a slice of an older incarnation to the new one. Work that still
-// reaches the new process for the older one then runs at the owner.
+// resume gives a held slice back to its owner when that is reached again, and
+// a slice of an older incarnation to the new one. Work that was sent before and
+// still runs, or that reaches the new process, then runs at the owner.
 func (r *round) resume(owner Target, entry *ContractSlice) bool {
-	if entry.Assignment.Incarnation >= owner.Incarnation || !r.s.layout.wants(keyOf(entry.Slice)) {
+	older := entry.Assignment.Incarnation < owner.Incarnation
+	if (!older && entry.Assignment.Phase != contract.Held) || !r.s.layout.wants(keyOf(entry.Slice)) {
 		return false
 	}
 	c, ok := r.loadOf(owner.Service).byID[owner.ID]
--- a/internal/control/plan_loss.go
+++ b/internal/control/plan_loss.go
@@ -176,6 +176,11 @@
 	if loss.Expired {
 		loss.ExpiredFor = r.now - observed.expiredSince
 	}
+	if !t.ChecksGrants {
+		// No grant stops such a target; its slices can only be held.
+		loss.ExpiredFor = loss.UnreachableFor - contract.GrantExpiryWait
+		loss.Expired = loss.ExpiredFor >= 0
+	}
 	own := r.s.vms[observed.vm].DataCentre
 	for name, probe := range r.p.probed[t.ID] {
 		if r.now-probe.at > probeAge || probe.at < observed.unreachableSince || name == observed.vm {
@@ -195,7 +200,7 @@
 	case Redispatch:
 		r.redispatch(t, observed)
 	case Move:
-		if r.grantOver(t.ID, observed) {
+		if !t.ChecksGrants || r.grantOver(t.ID, observed) {
 			r.replaceTarget(t)
 		}
 	}
--- a/internal/control/sim_fakes_test.go
+++ b/internal/control/sim_fakes_test.go
@@ -111,6 +111,7 @@
 func (v *simVM) report(s *sim, id string, g *simGrant) TargetReport {
 	reachable := g.everRead && s.now-g.lastReply < 2*contract.RenewInterval
 	over := s.now >= g.usedAt+contract.GrantExpiryWait && s.now >= g.lastReply+2*contract.RenewInterval
+	over = over && s.target(id).ChecksGrants
 	if over || g.expired {
 		g.expired = !v.resumes
 	}
