Measure planning with fresh reports and a text that parses

The benchmark's text lacked a field that the parser now needs, and its reports aged out, so rounds of balancing were not measured.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -32,7 +32,7 @@
 		apply(Command{RegisterVM: &VM{Name: fmt.Sprintf("vm-%d", i), DataCentre: "d", Incarnation: 1}})
 	}
 	apply(setText(0, fmt.Sprintf("name: b\nregions: [{name: r, data_centres: [{name: d}]}]\n"+
-		"services: [{name: ledger, ownership: exclusive, slices: %d, slots: 6}]\ntenants: [{name: \"*\"}]\n", slices)))
+		"services: [{name: ledger, ownership: exclusive, slices: %d, endpoints: 9, slots: 6}]\ntenants: [{name: \"*\"}]\n", slices)))
 	for i := range targets {
 		id := fmt.Sprintf("target-%d", i)
 		apply(Command{RegisterTarget: &Target{
@@ -44,7 +44,8 @@
 		apply(assignSlice(contract.SliceID(i+1), fmt.Sprintf("target-%d", i%targets), 1, 1))
 	}
 	p.Elected(0)
-	heartbeats(s, p, vms, time.Second)
+	// Observations and leases from the future stay valid for the whole run.
+	heartbeats(s, p, vms, time.Hour)
 	return s, p
 }
 
@@ -116,9 +117,6 @@
 		now := 2 * time.Second
 		for b.Loop() {
 			now += planInterval
-			for _, v := range p.vms {
-				v.leaseUntil = now + contract.VMLease
-			}
 			p.Plan(now, s)
 		}
 	})
