--- a/internal/control/planner_test.go
+++ b/internal/control/planner_test.go
@@ -44,6 +44,12 @@
 	if p.vms["v"].leaseUntil != time.Second+contract.VMLease || p.CurrentIncarnation(s, older) || !p.CurrentIncarnation(s, v) {
 		t.Fatal("a heartbeat of an older process, or one that was overtaken, renewed the lease")
 	}
+	newer := v
+	newer.Incarnation = 3
+	p.Heartbeat(2*time.Second, Heartbeat{VM: newer, SentAt: 1})
+	if p.CurrentIncarnation(s, v) {
+		t.Fatal("a process is current although its successor was heard of")
+	}
 }
 
 // Guards against hot hashes that stay with other keys, and against slices that
