--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -51,8 +51,8 @@
 }
 
 // Guards against votes that could elect a second leader: while a lease may be
-// valid, after a restart, for a shorter log, twice in a term, or in the name
-// of another identity.
+// valid, after a restart, for a shorter log, twice in a term, without being
+// saved, or in the name of another identity.
 func TestVotes(t *testing.T) {
 	hs := HardState{Term: 4, Vote: "c/0"}
 	vote := func(term, index, logTerm uint64) Message {
@@ -88,9 +88,12 @@
 		}
 		drain(n)
 		n.Step(n.now, c.m)
-		got := "silent"
-		for _, m := range drain(n) {
+		got, r := "silent", n.Ready()
+		for _, m := range r.Messages {
 			got = fmt.Sprintf("%s %d", map[bool]string{true: "reject", false: "grant"}[m.Reject], m.Term)
+			if !m.Reject && (r.HardState == nil || r.HardState.Vote != m.To || r.HardState.Term != m.Term) {
+				t.Errorf("%s: granted without saving %+v", c.name, r.HardState)
+			}
 		}
 		if got != c.want {
 			t.Errorf("%s: %s, want %s", c.name, got, c.want)
@@ -99,7 +102,9 @@
 }
 
 // Guards against committing an entry of an earlier term, or one that the
-// leader itself has not synced, by counting replicas: both can be lost.
+// leader itself has not synced, by counting replicas: both can be lost. Guards
+// also against a lease that counts from the arrival of a reply, and against
+// settings that change who votes after the first term.
 func TestCommitRule(t *testing.T) {
 	n := lead(t, abc, HardState{Term: 2}, command(1, 1), command(2, 2))
 	ack := func(index uint64) {
@@ -107,7 +112,9 @@
 	}
 	unsynced := n.Ready()
 	ack(2)
-	if _, _, err := n.ProposeMembership(n.now, Membership{Voters: abc.Voters[:2]}); n.CommitIndex() != 0 || !errors.As(err, new(*MembershipError)) {
+	var refusal *MembershipError
+	_, _, err := n.ProposeMembership(n.now, abc.Without("c/0"))
+	if n.CommitIndex() != 0 || !errors.As(err, &refusal) || refusal.Fault != TermNotReady {
 		t.Fatalf("commit %d by an earlier term, change: %v", n.CommitIndex(), err)
 	}
 	ack(3)
@@ -118,6 +125,15 @@
 	if n.CommitIndex() != 3 || !n.LeaseValid(n.now) {
 		t.Fatalf("commit %d after the leader synced", n.CommitIndex())
 	}
+	late := n.now + DefaultLeaderLease
+	n.Step(late, Message{Type: MsgAppendReply, From: "b/0", To: "a/0", Term: 3, Index: 4, Stamp: n.now})
+	if n.LeaseValid(late) {
+		t.Fatal("a late reply extended the lease")
+	}
+	restarted, err := New(n.cfg, Membership{Voters: []string{"a/0"}}, HardState{Term: 3}, nil, n.log.entries)
+	if err != nil || len(restarted.Membership().Voters) != 3 {
+		t.Fatalf("settings replaced the logged membership: %v %v", restarted.Membership(), err)
+	}
 	if n.Compact(3, nil); n.snapshot != nil {
 		t.Fatal("a snapshot covers entries that were not delivered")
 	}
@@ -198,7 +214,7 @@
 		nodes[r.id] = r.node
 	}
 	data := make([]byte, 128)
-	for i := 0; b.Loop(); i++ {
+	for b.Loop() {
 		if _, _, err := leader.Propose(s.now, data); err != nil {
 			b.Fatal(err)
 		}
@@ -207,11 +223,6 @@
 			to.Step(s.now, queue[0])
 			queue = append(queue, drain(to)...)
 		}
-		if i%1000 == 0 {
-			for _, n := range nodes {
-				n.Compact(n.CommitIndex(), nil)
-			}
-		}
 	}
 	if leader.CommitIndex() != leader.log.last() {
 		b.Fatalf("commit %d of %d", leader.CommitIndex(), leader.log.last())
