Move slices off stragglers of exclusive services

The planner weighed stragglers by a flag that no dispatcher could set, since one VM sees only a few targets of a service. Dispatchers now report the median time of the exchanges of the last 2 s with their number, and the planner compares it with the median over the service's targets. A target above three times the median for 1 s is a straggler; at most a third are. If the service gives the tail a weight, its slices move away, hot ones first, within max_moves_per_second, and later placements avoid it. A straggler without requests is probed with one slice after 5 s, doubling up to 80 s, and gets its share back after 3 s below 1.5 times the median.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -71,8 +71,10 @@
 	HotShares []float64 `msgpack:"a"`
 	// Load is the share of slots in use, 0 to 1, averaged over a second.
 	Load float64 `msgpack:"l"`
-	// Straggler says that the target's latency is far above its service's.
-	Straggler bool `msgpack:"x"`
+	// LatencyMicros is the median time of recent exchanges with the target, in
+	// microseconds, and LatencyCount their number.
+	LatencyMicros int64 `msgpack:"m"`
+	LatencyCount  int   `msgpack:"n"`
 }
 
 // Heartbeat is sent by every VM to the control leader every
--- a/internal/control/plan_assign.go
+++ b/internal/control/plan_assign.go
@@ -20,7 +20,9 @@
 	load float64
 	// slots and limit are the slots when warm and those usable now.
 	slots, limit float64
-	straggler    bool
+	// straggler says that the target should own nothing while it is slow,
+	// and probing that it may own one slice.
+	straggler, probing bool
 }
 
 // serviceLoad is the load of the targets of one service.
@@ -28,12 +30,14 @@
 	candidates []*candidate
 	byID       map[string]*candidate
 	total      float64
-	slots      float64
+	// slots are those of the targets that are not stragglers.
+	slots float64
 }
 
-// ideal is the load that the candidate would have if load followed slots.
+// ideal is the load that the candidate would have if load followed the slots
+// of the targets that are not stragglers.
 func (l *serviceLoad) ideal(c *candidate) float64 {
-	if l.slots == 0 {
+	if l.slots == 0 || c.straggler {
 		return 0
 	}
 	return l.total * c.slots / l.slots
@@ -61,7 +65,9 @@
 func (l *serviceLoad) add(c *candidate) {
 	l.candidates = append(l.candidates, c)
 	l.byID[c.target.ID] = c
-	l.slots += c.slots
+	if !c.straggler {
+		l.slots += c.slots
+	}
 }
 
 func (r *round) newCandidate(t Target) *candidate {
@@ -73,9 +79,8 @@
 	if t.State == Cold {
 		c.limit = float64(min(slots, max(service.ColdSlots, 1)))
 	}
-	if observed, ok := r.report(t.ID); ok {
-		c.straggler = observed.report.Straggler
-	}
+	speed := r.speed(t)
+	c.straggler, c.probing = speed.straggler, speed.probing
 	for _, entry := range r.model.owned[t.ID] {
 		if entry.Assignment.Phase == contract.Owned {
 			c.load += r.weight(entry)
@@ -129,22 +134,20 @@
 		if !r.allowed(c, entry) {
 			continue
 		}
-		if best == nil || c.cost(weight) < best.cost(weight) {
+		if best == nil || c.better(best, weight) {
 			best = c
 		}
 	}
 	return best, best != nil
 }
 
-// stragglerCost multiplies the cost of placing a slice on a straggler.
-const stragglerCost = 2
-
-func (c *candidate) cost(weight float64) float64 {
-	cost := (c.load + weight) / c.limit
-	if c.straggler {
-		cost *= stragglerCost
+// better reports whether c suits a slice of the weight better than other: a
+// straggler is used only if there is no other target.
+func (c *candidate) better(other *candidate, weight float64) bool {
+	if c.straggler != other.straggler {
+		return other.straggler
 	}
-	return cost
+	return (c.load+weight)/c.limit < (other.load+weight)/other.limit
 }
 
 // allowed reports whether the candidate may take the slice from its owner.
--- a/internal/control/plan_balance.go
+++ b/internal/control/plan_balance.go
@@ -59,6 +59,7 @@
 
 func (r *round) balanceService(service text.Service) {
 	l := r.loadOf(service.Name)
+	r.probeStragglers(service, l)
 	budget := r.budget(service.Name)
 	for range movesPerRound {
 		best := r.bestMove(l, service.Weights)
@@ -84,7 +85,7 @@
 		excess := from.load - l.ideal(from)
 		// A cold target keeps what it has: moving it away would only warm
 		// the keys elsewhere once more.
-		if from.target.State == Cold || (excess <= 0 && !from.straggler) {
+		if from.target.State == Cold || from.probing || excess <= 0 {
 			continue
 		}
 		for _, entry := range r.model.owned[from.target.ID] {
@@ -103,15 +104,15 @@
 	var best move
 	w := r.weight(entry)
 	for _, to := range l.candidates {
-		if !r.allowed(to, entry) || !fits(l, to, w) {
+		if to.straggler || !r.allowed(to, entry) || !fits(l, to, w) {
 			continue
 		}
 		// The imbalance is the sum of the squared differences from the ideal
 		// loads; this is its decrease.
 		reduction := 2 * w * ((from.load - l.ideal(from)) - (to.load - l.ideal(to)) - w)
 		gain := weights.Balance*reduction - weights.Churn
-		if from.straggler && !to.straggler {
-			gain += weights.Tail
+		if from.straggler {
+			gain += weights.Tail * w
 		}
 		if gain > best.gain {
 			best = move{entry: entry, to: to, gain: gain}
--- a/internal/control/plan_hot.go
+++ b/internal/control/plan_hot.go
@@ -209,6 +209,9 @@
 	if narrow.Assignment.Phase != contract.Owned || wide.Assignment.Phase != contract.Owned {
 		return
 	}
+	if to := r.loadOf(wide.Slice.Service).byID[wide.Assignment.Target]; to != nil && to.straggler {
+		return
+	}
 	budget := r.budget(narrow.Slice.Service)
 	if budget.available(r.now) < 1 {
 		return
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -49,6 +49,8 @@
 	nextBalance   time.Duration
 	nextCleanup   time.Duration
 
+	stragglers stragglerWatches
+
 	model *model
 }
 
@@ -101,6 +103,7 @@
 		r.registerTargets()
 		r.setDispatches()
 		r.orderProbes()
+		r.watchStragglers()
 		r.handleReports()
 		r.drainSlices()
 		r.finishDrains()
--- a/internal/control/sim_fakes_test.go
+++ b/internal/control/sim_fakes_test.go
@@ -121,6 +121,10 @@
 		Target: id, Incarnation: g.incarnation, Epoch: g.epoch, Reachable: reachable,
 		GrantExpired: over || g.expired, State: state, Stopped: slices.Clone(g.stopped),
 	}
+	// A target without slices has no requests to measure.
+	if t := s.target(id); t.micros > 0 && slices.ContainsFunc(s.state.Table().Assignments(), func(e ContractSlice) bool { return e.Assignment.Target == id }) {
+		out.LatencyMicros, out.LatencyCount = t.micros, minCompletions
+	}
 	if t := s.target(id); t.hot != 0 {
 		out.HotHashes, out.HotShares, out.Load = []uint64{t.hot}, []float64{0.3}, 1
 	}
@@ -259,7 +263,9 @@
 	Target
 	born time.Duration
 	// hot is a hash that takes a third of the requests, 0 for none.
-	hot      uint64
+	hot uint64
+	// micros is the latency in its reports, 0 for none.
+	micros   int64
 	dead     bool
 	frozen   bool
 	socket   []func()
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -257,6 +258,11 @@
 	latency := d.cfg.Now() - started
 	if err != nil {
 		e := errkind.From(err)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// The target would have taken longer still. Without these a
+			// target that answers nothing in time would look idle.
+			j.worker.latency.add(started+latency, latency)
+		}
 		if e.Kind == errkind.TargetLost {
 			d.suspect(j)
 		}
@@ -264,6 +270,7 @@
 		d.metrics.failed(j, e.Kind)
 		return nil, e
 	}
+	j.worker.latency.add(started+latency, latency)
 	slot.Release(dispatch.Result{Latency: latency, OK: resp.Status < http.StatusInternalServerError})
 	if j.alone {
 		d.crashes.Clear(j.fingerprint)
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -45,6 +45,8 @@
 	// read says that the target answered a renewal.
 	read bool
 	hot  *hotKeys
+	// latency has a lock of its own.
+	latency recentLatency
 }
 
 func newWorker(d *Dispatcher, c control.Contract) *worker {
@@ -327,5 +329,7 @@
 	stats := w.gate.Snapshot()
 	r.Load = stats.Load
 	r.HotHashes, r.HotShares = w.hot.top()
+	median, count := w.latency.median(now)
+	r.LatencyMicros, r.LatencyCount = median.Microseconds(), count
 	return r
 }
