--- a/scripts/load/run.sh
+++ b/scripts/load/run.sh
@@ -26,7 +26,8 @@
 	;;
 *) echo "unknown deployment $deployment" >&2 && exit 2 ;;
 esac
-text=scripts/load/$deployment.yaml
+# TEXT replaces the deployment's configuration text.
+text=${TEXT:-scripts/load/$deployment.yaml}
 
 status() { curl -sf -m 1 "http://$(vm_ip "$1"):9001/v1/status"; }
 # put_text BASE FILE applies a text by compare-and-set through VM 1.
