--- a/internal/control/plan_balance.go
+++ b/internal/control/plan_balance.go
@@ -61,6 +61,7 @@
 
 func (r *round) balanceService(service text.Service) {
 	l := r.loadOf(service.Name)
+	r.probeStragglers(service, l)
 	budget := r.budget(service.Name)
 	for range movesPerRound {
 		best := r.bestMove(l, service.Weights)
@@ -88,7 +89,7 @@
 	for _, from := range l.candidates {
 		// A cold target keeps what it has: moving it away would only warm
 		// the keys elsewhere once more.
-		if from.target.State == Cold || (l.excess(from) <= 0 && !from.straggler) {
+		if from.target.State == Cold || from.probing || (l.excess(from) <= 0 && !from.straggler) {
 			continue
 		}
 		if m := r.bestMoveFrom(l, weights, from); m.gain > best.gain {
@@ -119,25 +120,25 @@
 }
 
 // bestDestination returns the best move of a slice. The imbalance is the sum of
-// the squared excess loads, so the destination with the least excess decreases
-// it most; only the cost of stragglers can make a later one better.
+// the squared excess loads, so the allowed destination with the least excess,
+// the first one in order, decreases it most.
 func (r *round) bestDestination(l *serviceLoad, weights text.Weights, from *candidate, entry *ContractSlice) move {
 	var best move
 	w := r.weight(entry)
 	for _, to := range l.candidates {
-		if !r.allowed(to, entry) || !fits(l, to, w) {
+		if to.straggler || !r.allowed(to, entry) || !fits(l, to, w) {
 			continue
 		}
+		// The imbalance is the sum of the squared differences from the ideal
+		// loads; this is its decrease.
 		gain := weights.Balance*2*w*(l.excess(from)-l.excess(to)-w) - weights.Churn
-		if from.straggler && !to.straggler {
-			gain += weights.Tail
+		if from.straggler {
+			gain += weights.Tail * w
 		}
 		if gain > best.gain {
 			best = move{entry: entry, to: to, gain: gain}
 		}
-		if !from.straggler || !to.straggler {
-			break
-		}
+		break
 	}
 	return best
 }
--- a/internal/control/plan_hot.go
+++ b/internal/control/plan_hot.go
@@ -270,6 +270,9 @@
 	if narrow.Assignment.Phase != contract.Owned || wide.Assignment.Phase != contract.Owned {
 		return false
 	}
+	if to := r.loadOf(wide.Slice.Service).byID[wide.Assignment.Target]; to != nil && to.straggler {
+		return false
+	}
 	budget := r.budget(narrow.Slice.Service)
 	if r.p.inFlight(sliceKey(wide.Slice.ID)) || budget.available(r.now) < 1 {
 		return false
