--- a/cmd/flamingoreelbench/main.go
+++ b/cmd/flamingoreelbench/main.go
@@ -36,6 +36,7 @@
 			&cli.StringFlag{Name: "entries", Usage: "base URLs of VMs for callers, separated by commas", Sources: env("entries")},
 			&cli.StringFlag{Name: "admins", Usage: "admin base URLs of VMs, separated by commas", Sources: env("admins")},
 			&cli.StringFlag{Name: "streams", Usage: "SERVICE:TENANT:SHARE:POST_SHARE:KEYS:HOT, separated by commas", Sources: env("streams")},
+			&cli.StringFlag{Name: "path", Value: "/", Usage: "path and query of every request", Sources: env("path")},
 			&cli.FloatFlag{Name: "rate", Value: 500, Usage: "requests a second", Sources: env("rate")},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "length of the run", Sources: env("duration")},
 			&cli.DurationFlag{Name: "deadline", Value: 2 * time.Second, Usage: "deadline of a request", Sources: env("deadline")},
@@ -49,7 +50,7 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	streams, err := readStreams(c.String("streams"))
+	streams, err := readStreams(c.String("streams"), c.String("path"))
 	if err != nil {
 		return err
 	}
@@ -99,8 +100,9 @@
 	return nil
 }
 
-// readStreams reads SERVICE:TENANT:SHARE:POST_SHARE:KEYS:HOT items.
-func readStreams(list string) ([]load.Stream, error) {
+// readStreams reads SERVICE:TENANT:SHARE:POST_SHARE:KEYS:HOT items; all of them
+// get the path.
+func readStreams(list, path string) ([]load.Stream, error) {
 	var streams []load.Stream
 	for _, item := range split(list) {
 		parts := strings.Split(item, ":")
@@ -114,7 +116,7 @@
 		if err := errors.Join(err1, err2, err3, err4); err != nil {
 			return nil, fmt.Errorf("stream %q: %w", item, err)
 		}
-		streams = append(streams, load.Stream{Service: parts[0], Tenant: parts[1], Share: share, PostShare: post, Keys: keys, Hot: hot, Path: "/"})
+		streams = append(streams, load.Stream{Service: parts[0], Tenant: parts[1], Share: share, PostShare: post, Keys: keys, Hot: hot, Path: path})
 	}
 	return streams, nil
 }
--- a/internal/record/store_test.go
+++ b/internal/record/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -251,3 +252,18 @@
 	b.ReportMetric(float64(stats.Bytes)/float64(stats.Records), "accountedB/record")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(stats.Records), "heapB/record")
 }
+
+// BenchmarkHolders measures the choice of holders by the number of candidates.
+func BenchmarkHolders(b *testing.B) {
+	for _, n := range []int{9, 100, 800} {
+		names := make([]string, n)
+		for i := range names {
+			names[i] = "vm-" + strconv.Itoa(i)
+		}
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			for b.Loop() {
+				Holders(ID{Tenant: "club", Service: "ledger", Key: "k"}, names)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scripts/load/slopes.py
@@ -0,0 +1,99 @@
+"""Prints what VMs spent between two readings of their metrics.
+
+Usage: slopes.py TITLE DIR VMS LEADER. DIR holds first-N.txt and second-N.txt.
+"""
+
+import re
+import sys
+
+LINE = re.compile(r"^([a-z_]+)(?:\{(.*)\})? (\S+)$")
+
+
+def read(path):
+    """Returns the samples of one reading as a list of (name, labels, value)."""
+    samples = []
+    with open(path) as lines:
+        for line in lines:
+            match = LINE.match(line.strip())
+            if match:
+                labels = dict(re.findall(r'(\w+)="([^"]*)"', match[2] or ""))
+                samples.append((match[1], labels, float(match[3])))
+    return samples
+
+
+def total(samples, name, **want):
+    return sum(v for n, l, v in samples if n == name and all(l.get(k) == w for k, w in want.items()))
+
+
+class VM:
+    """The difference between two readings of one VM."""
+
+    def __init__(self, directory, number):
+        self.first = read(f"{directory}/first-{number}.txt")
+        self.second = read(f"{directory}/second-{number}.txt")
+        self.seconds = self.grown("slopes_read_seconds")
+
+    def grown(self, name, **want):
+        return total(self.second, name, **want) - total(self.first, name, **want)
+
+    def core_share(self):
+        return 100 * self.grown("process_cpu_seconds_total") / self.seconds
+
+    def control(self, direction):
+        return self.grown("flamingoreel_link_bytes_total", **{"class": "control", "direction": direction}) / self.seconds
+
+    def memory(self):
+        return total(self.second, "process_resident_memory_bytes") / 2**20
+
+
+def quantile(vms, name, q):
+    """Interpolates a quantile in ms from the histogram buckets of all VMs."""
+    bounds = sorted({float(l["le"]) for vm in vms for n, l, _ in vm.second if n == name + "_bucket"})
+    counts = [(b, sum(v for vm in vms for v in [bucket(vm, name, b)])) for b in bounds]
+    rank, low, before = q * counts[-1][1], 0.0, 0.0
+    for bound, count in counts:
+        if count >= rank:
+            return 1000 * (low + (bound - low) * (rank - before) / max(count - before, 1))
+        low, before = bound, count
+    return 1000 * low
+
+
+def bucket(vm, name, bound):
+    part = lambda samples: sum(v for n, l, v in samples if n == name + "_bucket" and float(l["le"]) == bound)
+    return part(vm.second) - part(vm.first)
+
+
+def write_role(name, vms):
+    mean = lambda f: sum(f(vm) for vm in vms) / len(vms)
+    print(f"  {name}: core {mean(VM.core_share):.2f}%, control in {mean(lambda v: v.control('in')):.0f} B/s"
+          f" out {mean(lambda v: v.control('out')):.0f} B/s, resident {mean(VM.memory):.1f} MiB")
+
+
+def write_requests(vms):
+    entry, target = "flamingoreel_entry_request_seconds", "flamingoreel_dispatcher_target_seconds"
+    count = sum(vm.grown(entry + "_count") for vm in vms)
+    if count == 0:
+        return
+    cpu = sum(vm.grown("process_cpu_seconds_total") for vm in vms)
+    added = sum(vm.grown(entry + "_sum") - vm.grown(target + "_sum") for vm in vms) / count
+    print(f"  requests {count:.0f}, {count / cpu:.0f} per core-second of VMs, added mean {1000 * added:.2f} ms")
+    for q in (0.5, 0.99, 0.999):
+        e, t = quantile(vms, entry, q), quantile(vms, target, q)
+        print(f"  p{100 * q:g}: entry {e:.2f} ms, target {t:.2f} ms, difference {e - t:.2f} ms (from buckets)")
+    traffic = sum(vm.grown("flamingoreel_link_bytes_total", **{"class": "traffic", "direction": "out"}) for vm in vms)
+    print(f"  link traffic {traffic / count:.0f} B per request")
+
+
+def main():
+    title, directory, count, leader = sys.argv[1], sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
+    vms = {n: VM(directory, n) for n in range(1, count + 1)}
+    voters = 5 if count >= 5 else 3
+    print(title)
+    write_role("leader", [vms[leader]])
+    write_role("replicas", [vms[n] for n in vms if n <= voters and n != leader])
+    if count > voters:
+        write_role("other VMs", [vms[n] for n in vms if n > voters])
+    write_requests(list(vms.values()))
+
+
+main()
