--- a/scripts/load/slopes.sh
+++ b/scripts/load/slopes.sh
@@ -2,6 +2,7 @@
 # Measures what one VM spends on control and on requests at several sizes of a
 # deployment on loopback, and prints one line per run.
 # Usage: slopes.sh idle VMS TARGETS SLICES [SECONDS]
+#        slopes.sh mesh VMS TARGETS SLICES [SECONDS]   idle after requests opened all links
 #        slopes.sh load VMS TARGETS SLICES RATE ANSWER_BYTES POST_SHARE [SECONDS]
 #        slopes.sh sweep
 # A run has at most 9 VMs, 58 targets and 30 s, and ends only what it started.
@@ -103,6 +104,17 @@
 	sample second
 	python3 scripts/load/slopes.py "idle vms=$1 targets=$2 slices=$3" "$DIR" "$vms" "$(leader)"
 }
+# mesh is idle once every entry has a link to every dispatcher.
+mesh() {
+	bounded "${4:-8}"
+	boot "$1" "$2" "$3"
+	"$BIN/flamingoreelbench" --entries "${callers%,}" --streams "ledger:club-a:1:0:4000:0" --rate 200 --duration 4s >"$DIR/report.txt"
+	sleep 2
+	sample first
+	sleep "${4:-8}"
+	sample second
+	python3 scripts/load/slopes.py "mesh vms=$1 targets=$2 slices=$3" "$DIR" "$vms" "$(leader)"
+}
 leader() { admin 1 v1/status | python3 -c 'import json,sys; print(json.load(sys.stdin)["leader"].removeprefix("vm-"))'; }
 loaded() {
 	bounded "${7:-8}"
@@ -122,6 +134,7 @@
 	for v in 3 5 9; do bash "$0" idle "$v" 29 256 6; done
 	for t in 9 58; do bash "$0" idle 5 "$t" 256 6; done
 	for s in 64 1024; do bash "$0" idle 9 29 "$s" 6; done
+	for v in 3 5 9; do bash "$0" mesh "$v" 29 256 6; done
 	for v in 3 5 9; do bash "$0" load "$v" 29 256 1000 0 0 6; done
 	for t in 9 58; do bash "$0" load 5 "$t" 256 1000 0 0 6; done
 	for r in 250 2000; do bash "$0" load 5 29 256 "$r" 0 0 6; done
@@ -131,7 +144,8 @@
 }
 case ${1:-} in
 idle) idle "${@:2}" ;;
+mesh) mesh "${@:2}" ;;
 load) loaded "${@:2}" ;;
 sweep) sweep ;;
-*) sed -n '2,8p' "$0" >&2 && exit 2 ;;
+*) sed -n '2,9p' "$0" >&2 && exit 2 ;;
 esac
