--- a/scripts/load/slopes.py
+++ b/scripts/load/slopes.py
@@ -69,6 +69,14 @@
           f" out {mean(lambda v: v.control('out')):.0f} B/s, resident {mean(VM.memory):.1f} MiB")
 
 
+def write_pairs(vms, first):
+    """Writes the control bytes between two VMs that are both no voters: pings and hellos."""
+    rates = [vm.grown("flamingoreel_link_bytes_total", **{"class": "control", "direction": "out", "peer": f"vm-{peer}"}) / vm.seconds
+             for n, vm in vms.items() if n >= first for peer in vms if peer >= first and peer != n]
+    if rates:
+        print(f"  between two VMs without a replica: control out {sum(rates) / len(rates):.0f} B/s each way")
+
+
 def write_requests(vms):
     entry, target = "flamingoreel_entry_request_seconds", "flamingoreel_dispatcher_target_seconds"
     count = sum(vm.grown(entry + "_count") for vm in vms)
@@ -93,6 +101,7 @@
     write_role("replicas", [vms[n] for n in vms if n <= voters and n != leader])
     if count > voters:
         write_role("other VMs", [vms[n] for n in vms if n > voters])
+        write_pairs(vms, voters + 1)
     write_requests(list(vms.values()))
 
 
