--- a/internal/vm/bench_test.go
+++ b/internal/vm/bench_test.go
@@ -225,3 +225,17 @@
 		})
 	}
 }
+
+// BenchmarkAnnouncements measures what a VM does for each heartbeat to find the
+// announcements that the control state does not reflect, here none.
+func BenchmarkAnnouncements(b *testing.B) {
+	for _, f := range fleets {
+		b.Run(f.String(), func(b *testing.B) {
+			table := f.state(b).Table()
+			var a announcements
+			for b.Loop() {
+				a.fresh(time.Hour, table)
+			}
+		})
+	}
+}
