--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,21 @@
 # Records the demo's output as the session.
 demo-golden: build
 	./scripts/demo_check.sh -update
+
+# Reruns every row of docs/proofs.md; exits with 1 if one fails.
+prove: build
+	./scripts/prove.sh
+
+# Runs the property tests with FLAMINGOREEL_SOAK_SEEDS seeds, 20 by default.
+soak:
+	./scripts/soak.sh
+
+# Runs one deployment as processes on loopback under a load and a fault, for
+# example `make load DEPLOYMENT=himal FAULT=kill-leader`. RATE is in requests
+# per second, DURATION in seconds.
+DEPLOYMENT ?= zdbs
+FAULT ?= none
+RATE ?= 400
+DURATION ?= 15
+load: build
+	./scripts/load/run.sh $(DEPLOYMENT) $(FAULT) $(RATE) $(DURATION)
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -7,6 +7,9 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -78,3 +81,40 @@
 		}
 	}
 }
+
+// A proof that names a test which does not exist shows nothing.
+func TestProofsNameTests(t *testing.T) {
+	command := regexp.MustCompile("`go test -count=1 -run '\\^(Test\\w+)\\$(?:/\\^[^']+\\$)?' \\./([a-z/]+)`")
+	text := page(t, "proofs.md")
+	found := command.FindAllStringSubmatch(text, -1)
+	if want := strings.Count(text, "`go test"); len(found) != want || want == 0 {
+		t.Errorf("%d of %d commands have the form that scripts/prove.sh reads", len(found), want)
+	}
+	for _, c := range found {
+		files, _ := filepath.Glob("../" + c[2] + "/*_test.go")
+		declared := func(file string) bool { return strings.Contains(page(t, file), "func "+c[1]+"(t *testing.T)") }
+		if !slices.ContainsFunc(files, declared) {
+			t.Errorf("proofs.md names %s of %s", c[1], c[2])
+		}
+	}
+}
+
+// The rows are numbered without gaps, so that a promise of the design that has
+// no row, or a row with two results, is seen. Section 2 of the design lists 11
+// promises.
+func TestProofsAreNumbered(t *testing.T) {
+	next := map[string]int{"A": 1, "B": 1, "C": 1, "D": 1}
+	for _, row := range regexp.MustCompile(`(?m)^\| ([A-D])([0-9]+) \|.*$`).FindAllStringSubmatch(page(t, "proofs.md"), -1) {
+		if n, _ := strconv.Atoi(row[2]); n != next[row[1]] {
+			t.Errorf("row %s%s comes after %s%d", row[1], row[2], row[1], next[row[1]]-1)
+		}
+		next[row[1]]++
+		hasCommand := strings.Contains(row[0], "`go test") || strings.Contains(row[0], "`make demo-check`")
+		if hasCommand == strings.Contains(row[0], "**not proved**") {
+			t.Errorf("row %s%s must have a command or be not proved", row[1], row[2])
+		}
+	}
+	if next["A"] < 12 {
+		t.Errorf("%d of 11 promises have a row", next["A"]-1)
+	}
+}
