Write the page for on-call engineers

Operators had no page that says how to start, stop, replace or retire, what each metric and error kind means, and what is unavailable in each incident. docs/operations.md says so.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -118,3 +118,38 @@
 		t.Errorf("%d of 11 promises have a row", next["A"]-1)
 	}
 }
+
+// A kind, metric, readiness reason or log event of level error that the page
+// does not name leaves the engineer on call without advice.
+func TestOperationsNamesWhatIsSeen(t *testing.T) {
+	text := page(t, "operations.md")
+	_, kinds, _ := strings.Cut(text, "## Error kinds")
+	for _, kind := range errkind.Kinds() {
+		if strings.Count(kinds, "\n| `"+string(kind)+"` | ") != 1 {
+			t.Errorf("operations.md has no row for the kind %s", kind)
+		}
+	}
+	for _, seen := range []struct{ files, pattern, form string }{
+		{"vm/metrics.go", `describe\("(\w+)", "(\w+)"`, "| `flamingoreel_%s_%s` | "},
+		{"*/metrics.go", `Subsystem: "(\w+)", Name: "(\w+)"`, "| `flamingoreel_%s_%s` | "},
+		{"dispatcher/metrics.go", `newHistogram\("(\w+)()"`, "| `flamingoreel_dispatcher_%s%s` | "},
+		{"vm/status.go", `\t\treturn "([a-z ]+)()"`, "| `%s%s` | "},
+		{"*/*.go", `\.Error\("([^"]+)()"\)`, "`%s%s`"},
+		{"vm/*.go", `l\.fail\(err, "([^"]+)()"\)`, "`%s%s`"},
+	} {
+		files, _ := filepath.Glob("../internal/" + seen.files)
+		files = slices.DeleteFunc(files, func(file string) bool { return strings.HasSuffix(file, "_test.go") })
+		count := 0
+		for _, file := range files {
+			for _, m := range regexp.MustCompile(seen.pattern).FindAllStringSubmatch(page(t, file), -1) {
+				count++
+				if want := fmt.Sprintf(seen.form, m[1], m[2]); !strings.Contains(text, want) {
+					t.Errorf("operations.md does not name %s of %s", want, file)
+				}
+			}
+		}
+		if count == 0 {
+			t.Errorf("nothing in %s has the form %s", seen.files, seen.pattern)
+		}
+	}
+}
