--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // MembershipFault says why a membership change was refused.
@@ -69,6 +68,29 @@
 	return Membership{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
 }
 
+// WithLearner returns the membership with another learner.
+func (m Membership) WithLearner(id string) Membership {
+	changed := m.Without(id)
+	changed.Learners = append(changed.Learners, id)
+	return changed
+}
+
+// WithVoter returns the membership with the replica as a voter.
+func (m Membership) WithVoter(id string) Membership {
+	changed := m.Without(id)
+	changed.Voters = append(changed.Voters, id)
+	return changed
+}
+
+// Without returns the membership without the replica.
+func (m Membership) Without(id string) Membership {
+	isReplica := func(other string) bool { return other == id }
+	changed := m.clone()
+	changed.Voters = slices.DeleteFunc(changed.Voters, isReplica)
+	changed.Learners = slices.DeleteFunc(changed.Learners, isReplica)
+	return changed
+}
+
 // checkShape refuses a membership without voters or with duplicates.
 func (m Membership) checkShape() *MembershipError {
 	if len(m.Voters) == 0 {
@@ -120,7 +142,7 @@
 }
 
 func encodeMembership(m Membership) ([]byte, error) {
-	data, err := msgpack.Marshal(&m)
+	data, err := wire.Marshal(&m)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "encode membership")
 	}
@@ -130,7 +152,7 @@
 // DecodeMembership returns the membership that an EntryMembership carries.
 func DecodeMembership(e Entry) (Membership, error) {
 	var m Membership
-	if err := Unmarshal(e.Data, &m); err != nil {
+	if err := wire.Unmarshal(e.Data, &m); err != nil {
 		return Membership{}, errkind.Wrap(errkind.Internal, err, "decode membership at index %d", e.Index)
 	}
 	if fault := m.checkShape(); fault != nil {
--- a/internal/control/plan_loss.go
+++ b/internal/control/plan_loss.go
@@ -21,7 +21,7 @@
 // to reach, so that the results are there when the grants expire.
 func (r *round) orderProbes() {
 	r.p.orders = map[string][]string{}
-	for _, id := range r.model.targets {
+	for _, id := range r.suspects() {
 		observed, ok := r.report(id)
 		if !ok || observed.report.Reachable {
 			continue
@@ -67,17 +67,15 @@
 
 // handleReports acts on the reports of unreachable and returned targets.
 func (r *round) handleReports() {
-	lost, total := r.countLosses()
-	for _, id := range r.model.targets {
-		t := r.s.targets[id]
-		if r.withoutDispatcher(t) {
-			r.replaceOrphan(t)
-			continue
-		}
+	r.replaceOrphans()
+	suspects := r.suspects()
+	lost, total := r.countLosses(suspects)
+	for _, id := range suspects {
 		observed, ok := r.report(id)
 		if !ok {
 			continue
 		}
+		t := r.s.targets[id]
 		if observed.report.Reachable {
 			r.handleReturn(t, observed)
 			continue
@@ -91,14 +89,20 @@
 	}
 }
 
-// withoutDispatcher reports whether no VM can dispatch for the target: its
-// dispatcher's lease has run out and no other VM of the region has a lease.
-func (r *round) withoutDispatcher(t Target) bool {
-	d := r.s.dispatches[t.ID].Dispatch
-	if d.VM == "" || r.now < r.leaseEnd(d.VM, d.VMIncarnation) {
-		return false
+// replaceOrphans takes the slices from targets that no VM can dispatch for: the
+// dispatcher's lease has run out and no other VM of the region has a lease. No
+// report of an expired grant can come, so the leader counts the time itself.
+func (r *round) replaceOrphans() {
+	for _, region := range r.s.layout.text.Regions {
+		if len(r.dispatchersOf(region.Name)) > 0 {
+			continue
+		}
+		for _, id := range r.model.targets {
+			if t := r.s.targets[id]; r.s.layout.regionOf[t.DataCentre] == region.Name {
+				r.replaceOrphan(t)
+			}
+		}
 	}
-	return len(r.dispatchersOf(r.s.layout.regionOf[t.DataCentre])) == 0
 }
 
 // replaceOrphan takes the slices from a target that no VM can dispatch for,
@@ -106,7 +110,7 @@
 func (r *round) replaceOrphan(t Target) {
 	d := r.s.dispatches[t.ID].Dispatch
 	settled, ok := r.settledAt(t.ID)
-	if !ok {
+	if !ok || d.VM == "" || r.awaitsRegistration(d) {
 		return
 	}
 	quiet := max(settled, r.leaseEnd(d.VM, d.VMIncarnation))
@@ -119,16 +123,35 @@
 	r.replaceTarget(t)
 }
 
+// suspects returns the registered targets that are marked as lost or whose
+// last report was not a good one, in ID order.
+func (r *round) suspects() []string {
+	if len(r.p.suspects) == 0 && len(r.model.lost) == 0 {
+		return nil
+	}
+	var ids []string
+	for _, id := range r.model.targets {
+		if r.p.suspects[id] || r.s.targets[id].Lost {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // countLosses counts the lost targets and all targets of each service.
-func (r *round) countLosses() (lost, total map[string]int) {
+func (r *round) countLosses(suspects []string) (lost, total map[string]int) {
 	lost, total = map[string]int{}, map[string]int{}
-	for _, id := range r.model.targets {
-		service := r.s.targets[id].Service
-		total[service]++
+	for _, id := range suspects {
 		if observed, ok := r.report(id); ok && observed.report.GrantExpired {
-			lost[service]++
+			lost[r.s.targets[id].Service]++
 		}
 	}
+	if len(lost) == 0 {
+		return lost, total
+	}
+	for _, id := range r.model.targets {
+		total[r.s.targets[id].Service]++
+	}
 	return lost, total
 }
 
--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/storage"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // Sizes and intervals of the control goroutine.
@@ -233,14 +233,7 @@
 // save syncs a Ready. After a failed write the replica is silent for good: it
 // must not acknowledge what may not be on disk.
 func (l *loop) save(r consensus.Ready) bool {
-	var err error
-	if r.Snapshot != nil {
-		err = l.store.SaveSnapshot(*r.Snapshot)
-	}
-	if err == nil && (r.HardState != nil || len(r.Entries) > 0) {
-		err = l.store.Save(r.HardState, r.Entries)
-	}
-	if err != nil {
+	if err := l.store.SaveReady(r); err != nil {
 		l.fail(err, "storage failed, the replica stops acknowledging")
 		return false
 	}
@@ -332,7 +325,7 @@
 	if len(commands) == 0 || l.planner == nil {
 		return
 	}
-	payload, err := msgpack.Marshal(pushed{Before: before, Commands: commands})
+	payload, err := wire.Marshal(pushed{Before: before, Commands: commands})
 	if err != nil {
 		return
 	}
@@ -385,7 +378,7 @@
 
 func (l *loop) send(messages []consensus.Message) {
 	for _, m := range messages {
-		payload, err := msgpack.Marshal(m)
+		payload, err := consensus.EncodeMessage(m)
 		if err != nil {
 			l.logger.WithError(err).Error("message cannot be encoded")
 			continue
