--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -342,11 +342,13 @@
 	if l.dirty {
 		l.dirty = false
 		table := l.state.Table()
-		l.v.version.Store(l.state.Version())
 		if l.v.table.Swap(table) != table {
 			l.connectVMs(table)
 			l.v.dispatcher.Update(table)
 		}
+		// A heartbeat that reports the version tells the leader that this VM acts
+		// by it, so it is stored last.
+		l.v.version.Store(l.state.Version())
 	}
 	if l.pending.until > 0 && l.state.Version() >= l.pending.version {
 		l.v.lease.extend(l.pending.until)
