--- a/internal/dispatch/property_test.go
+++ b/internal/admission/property_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package admission
 
 import (
 	"fmt"
@@ -134,6 +134,6 @@
 			return ""
 		}, gen.UInt64()))
 	if !properties.Run(gopter.ConsoleReporter(false)) {
-		t.Fatalf("run again: FLAMINGOREEL_TEST_SEED=%d FLAMINGOREEL_SOAK_SEEDS=%d go test -run %s ./internal/dispatch", seed, cases, t.Name())
+		t.Fatalf("run again: FLAMINGOREEL_TEST_SEED=%d FLAMINGOREEL_SOAK_SEEDS=%d go test -run %s ./internal/admission", seed, cases, t.Name())
 	}
 }
--- a/internal/dispatch/queue.go
+++ b/internal/admission/queue.go
@@ -1,4 +1,4 @@
-package dispatch
+package admission
 
 import (
 	"container/heap"
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,8 +12,8 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/control"
-	"github.com/flamingoreel/flamingoreel/internal/dispatch"
 	"github.com/flamingoreel/flamingoreel/internal/record"
 )
 
@@ -34,7 +34,7 @@
 	Table   func() *control.Table
 	Records *record.Coordinator
 	// ShareSuspicions sends crash suspicions to the other VMs.
-	ShareSuspicions func([]dispatch.Suspicion)
+	ShareSuspicions func([]admission.Suspicion)
 	// Dial replaces TCP when it is not nil.
 	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	Logger   log.Interface
@@ -44,7 +44,7 @@
 // Dispatcher owns one worker for each target that this VM dispatches.
 type Dispatcher struct {
 	cfg     Config
-	crashes *dispatch.Crashes
+	crashes *admission.Crashes
 	metrics *metrics
 
 	mu      sync.RWMutex
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
 		cfg:     cfg,
-		crashes: dispatch.NewCrashes(),
+		crashes: admission.NewCrashes(),
 		metrics: newMetrics(cfg.Registry),
 		workers: make(map[string]*worker),
 		ctx:     ctx,
@@ -129,7 +129,7 @@
 }
 
 // MergeSuspicions takes in crash suspicions of another VM.
-func (d *Dispatcher) MergeSuspicions(s []dispatch.Suspicion) { d.crashes.Merge(d.cfg.Now(), s) }
+func (d *Dispatcher) MergeSuspicions(s []admission.Suspicion) { d.crashes.Merge(d.cfg.Now(), s) }
 
 // WaitBackground waits until no answer is awaited any more or ctx ends.
 func (d *Dispatcher) WaitBackground(ctx context.Context) {
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/control"
-	"github.com/flamingoreel/flamingoreel/internal/dispatch"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/record"
 	"github.com/flamingoreel/flamingoreel/internal/relay"
@@ -59,7 +59,7 @@
 
 // admit waits for a slot and counts the request in. Crash counts are looked at
 // again after the wait, because the crash may have happened meanwhile.
-func (d *Dispatcher) admit(ctx context.Context, j *job) (*dispatch.Slot, *errkind.Error) {
+func (d *Dispatcher) admit(ctx context.Context, j *job) (*admission.Slot, *errkind.Error) {
 	for {
 		if d.crashes.Refused(d.cfg.Now(), j.fingerprint) {
 			return nil, errkind.New(errkind.KnownCrasher, "this request crashed two targets")
@@ -71,12 +71,12 @@
 		}
 		now := d.cfg.Now()
 		if d.crashes.Refused(now, j.fingerprint) || d.crashes.Alone(now, j.fingerprint) != j.alone {
-			slot.Release(dispatch.Result{})
+			slot.Release(admission.Result{})
 			continue
 		}
 		d.metrics.observe(d.metrics.queue, j, now-j.arrived)
 		if err := j.worker.begin(j.req.Slice, j.req.Fence, j.hash); err != nil {
-			slot.Release(dispatch.Result{})
+			slot.Release(admission.Result{})
 			return nil, err
 		}
 		return slot, nil
@@ -151,13 +151,13 @@
 	return nil
 }
 
-func (d *Dispatcher) ticket(ctx context.Context, j *job) dispatch.Ticket {
+func (d *Dispatcher) ticket(ctx context.Context, j *job) admission.Ticket {
 	share := 1
 	if t, ok := j.table.Tenant(j.req.Tenant); ok {
 		share = t.Share
 	}
-	class, _ := dispatch.ParseClass(string(j.req.Class))
-	return dispatch.Ticket{
+	class, _ := admission.ParseClass(string(j.req.Class))
+	return admission.Ticket{
 		Tenant:      j.req.Tenant,
 		Class:       class,
 		Share:       share,
@@ -176,7 +176,7 @@
 }
 
 // runIdempotent sends a request that may run again; it is cancelled with ctx.
-func (d *Dispatcher) runIdempotent(ctx context.Context, j *job, slot *dispatch.Slot) (*relay.Reply, *errkind.Error) {
+func (d *Dispatcher) runIdempotent(ctx context.Context, j *job, slot *admission.Slot) (*relay.Reply, *errkind.Error) {
 	defer j.worker.end(j.req.Slice)
 	return d.send(ctx, j, slot)
 }
@@ -184,7 +184,7 @@
 // runOnce sends a non-idempotent request if its record allows it. After the
 // request was sent it is not cancelled: the answer is awaited past the
 // deadline, so that a resend gets it from the record.
-func (d *Dispatcher) runOnce(ctx context.Context, j *job, slot *dispatch.Slot) (*relay.Reply, *errkind.Error) {
+func (d *Dispatcher) runOnce(ctx context.Context, j *job, slot *admission.Slot) (*relay.Reply, *errkind.Error) {
 	running, stored, err := d.cfg.Records.Begin(ctx, j.record())
 	if err == nil && stored == nil {
 		err = d.maySend(ctx, j)
@@ -194,7 +194,7 @@
 	}
 	if err != nil || stored != nil {
 		j.worker.end(j.req.Slice)
-		slot.Release(dispatch.Result{})
+		slot.Release(admission.Result{})
 		if err != nil {
 			return nil, err
 		}
@@ -252,7 +252,7 @@
 }
 
 // send does one exchange with the target and releases the slot.
-func (d *Dispatcher) send(ctx context.Context, j *job, slot *dispatch.Slot) (*relay.Reply, *errkind.Error) {
+func (d *Dispatcher) send(ctx context.Context, j *job, slot *admission.Slot) (*relay.Reply, *errkind.Error) {
 	started := d.cfg.Now()
 	resp, err := j.worker.client.Do(ctx, j.targetRequest(ctx))
 	latency := d.cfg.Now() - started
@@ -266,12 +266,12 @@
 		if e.Kind == errkind.TargetLost {
 			d.suspect(j)
 		}
-		slot.Release(dispatch.Result{Latency: latency, Crashed: e.Kind == errkind.TargetLost})
+		slot.Release(admission.Result{Latency: latency, Crashed: e.Kind == errkind.TargetLost})
 		d.metrics.failed(j, e.Kind)
 		return nil, e
 	}
 	j.worker.latency.add(started+latency, latency)
-	slot.Release(dispatch.Result{Latency: latency, OK: resp.Status < http.StatusInternalServerError})
+	slot.Release(admission.Result{Latency: latency, OK: resp.Status < http.StatusInternalServerError})
 	if j.alone {
 		d.crashes.Clear(j.fingerprint)
 		d.shareSuspicions()
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/control"
-	"github.com/flamingoreel/flamingoreel/internal/dispatch"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/target"
 )
@@ -28,7 +28,7 @@
 type worker struct {
 	d      *Dispatcher
 	client *target.Client
-	gate   *dispatch.Gate
+	gate   *admission.Gate
 	kick   chan struct{}
 	done   chan struct{}
 
@@ -53,7 +53,7 @@
 	w := &worker{
 		d:      d,
 		client: target.NewClient(c.Target.Address, c.Service.Slots+spareConnections, d.cfg.Dial),
-		gate:   dispatch.NewGateWithClock(gateLimits(c), d.cfg.Now),
+		gate:   admission.NewGateWithClock(gateLimits(c), d.cfg.Now),
 		kick:   make(chan struct{}, 1),
 		done:   make(chan struct{}),
 		renewer: target.NewRenewer(d.cfg.Now(), target.Contract{
@@ -69,8 +69,8 @@
 	return w
 }
 
-func gateLimits(c control.Contract) dispatch.Limits {
-	return dispatch.Limits{
+func gateLimits(c control.Contract) admission.Limits {
+	return admission.Limits{
 		Slots:      c.Service.Slots,
 		ColdSlots:  c.Service.ColdSlots,
 		QueueLimit: c.Service.QueueLimit,
--- a/internal/vm/handlers.go
+++ b/internal/vm/handlers.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/control"
-	"github.com/flamingoreel/flamingoreel/internal/dispatch"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/record"
 	"github.com/flamingoreel/flamingoreel/internal/relay"
@@ -109,7 +109,7 @@
 }
 
 func (v *VM) handleSuspicions(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	var s []dispatch.Suspicion
+	var s []admission.Suspicion
 	if err := relay.Decode(payload, &s); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "suspicions")
 	}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -12,8 +12,8 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/control"
-	"github.com/flamingoreel/flamingoreel/internal/dispatch"
 	"github.com/flamingoreel/flamingoreel/internal/dispatcher"
 	"github.com/flamingoreel/flamingoreel/internal/entry"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -191,7 +191,7 @@
 }
 
 // shareSuspicions sends crash suspicions to all other VMs.
-func (v *VM) shareSuspicions(s []dispatch.Suspicion) {
+func (v *VM) shareSuspicions(s []admission.Suspicion) {
 	payload, err := relay.Encode(s)
 	if err != nil {
 		return
