Show leader, lost targets and slice phases and set the memory for records

Cause: 64 MiB of records fill at 61 postings a second over 9 VMs held for an hour (docs/CAPACITY.md), and the bound was no setting. It is a flag now, 256 MiB by default, enough for 246 a second by the same arithmetic.

--- a/cmd/flamingoreeld/run.go
+++ b/cmd/flamingoreeld/run.go
@@ -40,7 +40,8 @@
 		LinkAddr: s.linkAddr, CallerAddr: s.callerAddr, Peers: s.peers,
 		Voters: s.voters, DataDir: dataDir, Bootstrap: s.bootstrap,
 		Incarnation: uint64(time.Now().UnixNano()), Seed: uint64(time.Now().UnixNano()),
-		Logger: logger, Registry: registry,
+		MaxRecordBytes: s.recordBytes,
+		Logger:         logger, Registry: registry,
 	})
 	if err != nil {
 		return err
--- a/cmd/flamingoreeld/settings.go
+++ b/cmd/flamingoreeld/settings.go
@@ -23,6 +23,7 @@
 	voters                            []string
 	dataDir                           string
 	bootstrap                         bool
+	recordBytes                       int
 	logLevel                          log.Level
 	drainTimeout                      time.Duration
 }
@@ -53,6 +54,7 @@
 			stringFlag("voters", "", "names of the VMs that hold the control log, separated by commas"),
 			stringFlag("data-dir", "", "data directory; required on a voter"),
 			&cli.BoolFlag{Name: "bootstrap", Usage: "form a new control log when all voters are empty", Sources: env("bootstrap")},
+			&cli.IntFlag{Name: "record-memory", Value: 256, Usage: "largest memory for request records in MiB", Sources: env("record-memory")},
 			stringFlag("log-level", "info", "debug, info, warn or error"),
 			&cli.DurationFlag{Name: "drain-timeout", Value: 10 * time.Second, Usage: "longest graceful shutdown", Sources: env("drain-timeout")},
 		},
@@ -107,6 +109,10 @@
 	if s.logLevel, err = log.ParseLevel(c.String("log-level")); err != nil {
 		fault("--log-level: %v", err)
 	}
+	s.recordBytes = c.Int("record-memory") << 20
+	if n := c.Int("record-memory"); n < 1 || n > 1<<20 {
+		fault("--record-memory must be from 1 to %d", 1<<20)
+	}
 	if s.drainTimeout <= 0 {
 		fault("--drain-timeout must be positive")
 	}
--- a/internal/vm/loop.go
+++ b/internal/vm/loop.go
@@ -55,6 +55,8 @@
 	failed  bool
 	// storageFailed mirrors failed for readers outside the control goroutine.
 	storageFailed atomic.Bool
+	// leads mirrors whether this VM has a planner.
+	leads atomic.Bool
 	// reported holds the configuration numbers that VMs reported to the leader.
 	reported sync.Map
 
@@ -199,10 +201,12 @@
 		l.logger.WithFields(log.Fields{"vm": l.v.cfg.Name, "term": l.replica.Term()}).Info("control leadership gained")
 		l.planner = control.NewPlanner(l.v.cfg.Name)
 		l.planner.Elected(now)
+		l.leads.Store(true)
 		l.recent, l.recentBase = nil, l.state.Version()
 	case !leads && l.planner != nil:
 		l.logger.WithField("vm", l.v.cfg.Name).Warn("control leadership lost")
 		l.planner = nil
+		l.leads.Store(false)
 		for index, p := range l.waiting {
 			p.reply <- proposalResult{err: errkind.New(errkind.Internal, "control leadership was lost before the change was confirmed")}
 			delete(l.waiting, index)
@@ -262,6 +266,7 @@
 	l.failed = true
 	l.storageFailed.Store(true)
 	l.planner = nil
+	l.leads.Store(false)
 	l.logger.WithError(err).WithField("vm", l.v.cfg.Name).Error(message)
 }
 
--- a/internal/vm/metrics.go
+++ b/internal/vm/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/link"
 	"github.com/flamingoreel/flamingoreel/internal/record"
 )
@@ -11,6 +12,8 @@
 type collector struct {
 	v *VM
 
+	leading, lostTargets, slices *prometheus.Desc
+
 	linkBytes, linkFrames, linkDropped, linkRefused, linkConnects, badFrames *prometheus.Desc
 	recordBytes, records, leaseValid, version, configNumber, contracts       *prometheus.Desc
 	storageFailed, recordStarts                                              *prometheus.Desc
@@ -40,10 +43,33 @@
 		version:       describe("control", "version", "Index of the last applied command."),
 		configNumber:  describe("control", "config_number", "Number of the configuration in force."),
 		contracts:     describe("control", "contracts", "Targets that this VM dispatches."),
+		leading:       describe("control", "leading", "1 while this VM acts as control leader."),
+		lostTargets:   describe("control", "lost_targets", "Targets whose grant expired without an answer."),
+		slices:        describe("control", "slices", "Slices by phase of their assignment.", "phase"),
 		storageFailed: describe("control", "storage_failed", "1 after a failed write to the data directory."),
 	})
 }
 
+// collectTable exports what the routing table in force says of targets and
+// slices.
+func (c *collector) collectTable(out chan<- prometheus.Metric) {
+	table := c.v.Table()
+	lost := 0
+	for _, t := range table.Targets() {
+		if t.Lost {
+			lost++
+		}
+	}
+	out <- prometheus.MustNewConstMetric(c.lostTargets, prometheus.GaugeValue, float64(lost))
+	phases := map[contract.Phase]int{contract.Unassigned: 0, contract.Owned: 0, contract.Draining: 0, contract.Held: 0}
+	for _, a := range table.Assignments() {
+		phases[a.Assignment.Phase]++
+	}
+	for phase, n := range phases {
+		out <- prometheus.MustNewConstMetric(c.slices, prometheus.GaugeValue, float64(n), phase.String())
+	}
+}
+
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descs chan<- *prometheus.Desc) {
 	prometheus.DescribeByCollect(c, descs)
@@ -53,6 +79,7 @@
 func (c *collector) Collect(out chan<- prometheus.Metric) {
 	c.collectLinks(out, c.v.links.Stats())
 	c.collectRecords(out, c.v.store.Stats())
+	c.collectTable(out)
 	gauge := func(d *prometheus.Desc, value float64) {
 		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value)
 	}
@@ -60,6 +87,7 @@
 	gauge(c.version, float64(c.v.version.Load()))
 	gauge(c.configNumber, float64(c.v.Table().ConfigNumber()))
 	gauge(c.contracts, float64(c.v.dispatcher.Contracts()))
+	gauge(c.leading, flag(c.v.loop.leads.Load()))
 	gauge(c.storageFailed, flag(c.v.loop.storageFailed.Load()))
 }
 
