Give up reads in flight at a target that stopped answering

Change: the dispatcher ends idempotent requests as target_lost when renewals fail, and the entry asks the next owner.

--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -175,10 +175,24 @@
 	return table.Text().Limits.DefaultDeadline
 }
 
-// runIdempotent sends a request that may run again; it is cancelled with ctx.
+// runIdempotent sends a request that may run again. It is cancelled with ctx,
+// and given up as target_lost when the target stops answering renewals.
 func (d *Dispatcher) runIdempotent(ctx context.Context, j *job, slot *admission.Slot) (*relay.Reply, *errkind.Error) {
 	defer j.worker.end(j.req.Slice)
-	return d.send(ctx, j, slot)
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-j.worker.untilUnreachable():
+			cancel()
+		case <-sendCtx.Done():
+		}
+	}()
+	reply, err := d.send(sendCtx, j, slot)
+	if err != nil && err.Kind == errkind.AnswerTimeout && ctx.Err() == nil {
+		return nil, errkind.New(errkind.TargetLost, "target %s stopped answering", j.req.Target)
+	}
+	return reply, err
 }
 
 // runOnce sends a non-idempotent request if its record allows it. After the
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -42,6 +42,8 @@
 	revoking bool
 	stopped  bool
 	state    control.TargetState
+	// unreachable is closed and replaced when the target stops answering.
+	unreachable chan struct{}
 	// read says that the target answered a renewal.
 	read bool
 	hot  *hotKeys
@@ -51,11 +53,12 @@
 
 func newWorker(d *Dispatcher, c control.Contract) *worker {
 	w := &worker{
-		d:      d,
-		client: target.NewClient(c.Target.Address, c.Service.Slots+spareConnections, d.cfg.Dial),
-		gate:   admission.NewGateWithClock(gateLimits(c), d.cfg.Now),
-		kick:   make(chan struct{}, 1),
-		done:   make(chan struct{}),
+		d:           d,
+		client:      target.NewClient(c.Target.Address, c.Service.Slots+spareConnections, d.cfg.Dial),
+		gate:        admission.NewGateWithClock(gateLimits(c), d.cfg.Now),
+		kick:        make(chan struct{}, 1),
+		done:        make(chan struct{}),
+		unreachable: make(chan struct{}),
 		renewer: target.NewRenewer(d.cfg.Now(), target.Contract{
 			Target: c.Target.ID, Incarnation: c.Target.Incarnation, VM: d.cfg.VM,
 			Epoch: c.Dispatch.Epoch, ChecksGrants: c.Target.ChecksGrants,
@@ -162,6 +165,7 @@
 	defer w.mu.Unlock()
 	if err != nil {
 		w.renewer.Failed(receivedAt)
+		w.noteUnreachable(receivedAt)
 		return
 	}
 	w.renewer.Reply(sentAt, receivedAt, reply)
@@ -175,6 +179,25 @@
 	}
 }
 
+// noteUnreachable gives up the idempotent requests in flight once the target
+// does not answer renewals any more, so that their entries can ask the next
+// owner instead of waiting for the deadline. The caller holds mu.
+func (w *worker) noteUnreachable(now time.Duration) {
+	if w.renewer.Reachable(now) {
+		return
+	}
+	close(w.unreachable)
+	w.unreachable = make(chan struct{})
+}
+
+// untilUnreachable returns a channel that is closed when the target stops
+// answering renewals.
+func (w *worker) untilUnreachable() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unreachable
+}
+
 // noteState keeps the target's own state and restarts the cold-start ramp
 // when a warm target reports that it turned cold.
 func (w *worker) noteState(s control.TargetState) {
--- a/internal/session/loss_test.go
+++ b/internal/session/loss_test.go
@@ -311,3 +311,21 @@
 	})
 	return leader
 }
+
+// Guards against reads that wait for their whole deadline at a frozen owner
+// although the next owner could answer them.
+func TestReadMovesOnFromFrozenOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startSmall(t, slow)
+		defer c.close()
+		key := c.ownedBy("kp-1", "club-celje", "ledger-lj")
+		answers := c.start(call{via: "kp-1", method: http.MethodGet, service: "ledger", tenant: "club-celje", key: key, deadline: 10 * time.Second})
+		time.Sleep(100 * time.Millisecond)
+		started := time.Now()
+		c.targets["ledger-lj"].Freeze(8 * time.Second)
+		a := <-answers
+		if took := time.Since(started); a.status != http.StatusOK || took > time.Second+serviceTime {
+			t.Errorf("read at a frozen owner: %v after %v", a, took)
+		}
+	})
+}
