--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -116,7 +116,9 @@
 	defer d.mu.RUnlock()
 	reports := make([]control.TargetReport, 0, len(d.workers))
 	for _, w := range d.workers {
-		reports = append(reports, w.report())
+		if r, known := w.report(); known {
+			reports = append(reports, r)
+		}
 	}
 	return reports
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -42,6 +42,8 @@
 	revoking bool
 	stopped  bool
 	state    control.TargetState
+	// silent says that the last renewal was left out for lack of a lease.
+	silent bool
 	// unreachable is closed and replaced when the target stops answering.
 	unreachable chan struct{}
 	// read says that the target answered a renewal.
@@ -148,6 +150,9 @@
 // that the grants of a VM that lost contact to the control leader run out.
 func (w *worker) renew(ctx context.Context) {
 	if !w.d.cfg.LeaseValid() {
+		w.mu.Lock()
+		w.silent = true
+		w.mu.Unlock()
 		return
 	}
 	w.mu.Lock()
@@ -163,6 +168,7 @@
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.silent = false
 	if err != nil {
 		w.renewer.Failed(receivedAt)
 		w.noteUnreachable(receivedAt)
@@ -332,11 +338,16 @@
 	return w.contract.Dispatch.Epoch
 }
 
-// report says what this dispatcher knows of its target.
-func (w *worker) report() control.TargetReport {
+// report says what this dispatcher knows of its target. It knows nothing while
+// it left out renewals for lack of a lease: the target's silence and the expired
+// grant are then this VM's own doing.
+func (w *worker) report() (report control.TargetReport, known bool) {
 	now := w.d.cfg.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.silent {
+		return control.TargetReport{}, false
+	}
 	r := control.TargetReport{
 		Target:       w.contract.Target.ID,
 		Incarnation:  w.contract.Target.Incarnation,
@@ -354,5 +365,5 @@
 	r.HotHashes, r.HotShares = w.hot.top()
 	median, count := w.latency.median(now)
 	r.LatencyMicros, r.LatencyCount = median.Microseconds(), count
-	return r
+	return r, true
 }
