--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,8 +16,6 @@
 const (
 	// Method relays a request; the reply is a Reply.
 	Method = "relay"
-	// LookupMethod asks for the record of a non-idempotent request.
-	LookupMethod = "relay.lookup"
 	// SuspicionMethod shares crash suspicions with another VM, one way.
 	SuspicionMethod = "relay.suspicions"
 )
