--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -143,7 +143,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electionDeadline && n.isVoter() {
+	if n.now >= n.electionDeadline && n.mayCampaign() {
 		n.startPreVote()
 	}
 }
@@ -209,6 +209,18 @@
 
 func (n *Node) isVoter() bool { return n.history.current().IsVoter(n.cfg.ID) }
 
+// mayCampaign reports whether this replica may try to become leader: as a voter,
+// or while its own removal is not committed. The replica with the entry of the
+// removal may be the only one with the longest log; the others cannot elect a
+// leader without its vote then, and it refuses theirs.
+func (n *Node) mayCampaign() bool {
+	if n.isVoter() {
+		return true
+	}
+	committed := n.log.commit
+	return n.history.currentIndex() > committed && n.history.at(committed).IsVoter(n.cfg.ID)
+}
+
 // Leader returns the ID of the leader, or "" when none is known.
 func (n *Node) Leader() string { return n.leader }
 
