--- a/internal/vm/replica.go
+++ b/internal/vm/replica.go
@@ -14,13 +14,8 @@
 	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
-// Time limits of the replica. The leader lease is shorter than the shortest
-// election timeout, so that it has run out before another leader can exist.
+// Limits of the replica besides the defaults of consensus.
 const (
-	replicaHeartbeat = 50 * time.Millisecond
-	electionMin      = 200 * time.Millisecond
-	electionMax      = 300 * time.Millisecond
-	leaderLease      = 150 * time.Millisecond
 	// maxAppendBytes bounds one append, so that a lagging replica does not
 	// delay heartbeats.
 	maxAppendBytes = 256 << 10
@@ -144,9 +139,7 @@
 	}
 	r := l.recovered
 	replica, err := consensus.New(consensus.Config{
-		ID: l.replicaID, HeartbeatInterval: replicaHeartbeat,
-		ElectionMin: electionMin, ElectionMax: electionMax, LeaderLease: leaderLease,
-		Seed: l.v.cfg.Seed, MaxAppendBytes: maxAppendBytes,
+		ID: l.replicaID, Seed: l.v.cfg.Seed, MaxAppendBytes: maxAppendBytes,
 	}, consensus.Membership{}, r.HardState, r.Snapshot, r.Entries)
 	if err != nil {
 		l.fail(err, "replica cannot start")
