--- /dev/null
+++ b/cmd/flamingoreeld/roles.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingoreel/flamingoreel/internal/controller"
+	"github.com/flamingoreel/flamingoreel/internal/gateway"
+	"github.com/flamingoreel/flamingoreel/internal/logs"
+	"github.com/flamingoreel/flamingoreel/platform"
+)
+
+// Times of a planned stop.
+const (
+	// handoffTime is how long a stopping entry still takes new connections: the
+	// balancer needs two questions a second apart to stop sending them.
+	handoffTime = 3 * time.Second
+	// stopMargin is left of the grace time for the end of the process.
+	stopMargin = 300 * time.Millisecond
+	// controlStop bounds the end of the calls of a control VM.
+	controlStop = 300 * time.Millisecond
+	// idleConnection is how long a caller's connection may stay idle. Callers use
+	// connections that were idle for up to 12 s.
+	idleConnection = 75 * time.Second
+	// settingsPoll is the time between two looks at the settings file, which may
+	// change without a signal.
+	settingsPoll = time.Second
+	// memoryShare is the part of the memory limit at which the garbage collector
+	// works harder.
+	memoryShare = 0.6
+)
+
+// roleCommands are the roles of a deployment on the users' platform.
+func roleCommands() []*cli.Command {
+	role := func(name, usage string, run func(context.Context, *process) error) *cli.Command {
+		return &cli.Command{
+			Name: name, Usage: usage,
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
+				stringFlag("log-level", "info", "debug, info, warn or error"),
+			},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				p, err := newProcess(c)
+				if err != nil {
+					return cli.Exit(err, exitSettings)
+				}
+				defer p.logs.Close()
+				return ran(p.run(ctx, run))
+			},
+		}
+	}
+	return []*cli.Command{
+		role("entry", "take requests of callers and send them to targets", runEntry),
+		role("control", "keep the control log and answer targets and operators", runControl),
+	}
+}
+
+// process is what both roles need.
+type process struct {
+	path     string
+	settings platform.Settings
+	logs     *logs.Handler
+	logger   *log.Logger
+	registry *prometheus.Registry
+	servers  []*http.Server
+	failed   chan error
+}
+
+func newProcess(c *cli.Command) (*process, error) {
+	path := c.String("settings")
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	level, err := log.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return nil, err
+	}
+	handler := logs.New(os.Stdout)
+	p := &process{
+		path: path, settings: settings, logs: handler,
+		logger: &log.Logger{Handler: handler, Level: level}, registry: prometheus.NewRegistry(), failed: make(chan error, 4),
+	}
+	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "flamingoreel_log_lines_dropped_total", Help: "Log lines left out to stay within the permitted volume.",
+	}, func() float64 { return float64(handler.Dropped()) }))
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	return p, nil
+}
+
+// run runs a role until SIGTERM. The role closes what it opened.
+func (p *process) run(ctx context.Context, role func(context.Context, *process) error) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s := p.settings
+	p.logger.WithFields(log.Fields{
+		"vm": s.Name, "region": s.Region, "data_centre": s.DataCentre, "link": s.LinkAddr,
+		"seeds": s.Seeds, "bootstrap": s.Bootstrap, "tolerated": s.Tolerated,
+	}).Info("started")
+	err := role(ctx, p)
+	if err != nil {
+		p.logger.WithError(err).Error("ended by an error")
+	}
+	p.logger.WithField("vm", s.Name).Info("stopped")
+	return err
+}
+
+// listen serves a handler on an address until the process ends.
+func (p *process) listen(addr string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnection}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.failed <- err
+		}
+	}()
+	return server, nil
+}
+
+func (p *process) listenMetrics() (*http.Server, error) {
+	return p.listen(p.settings.MetricsAddr, promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+}
+
+// wait returns when the process is asked to stop or a server failed. It reloads
+// the settings meanwhile.
+func (p *process) wait(ctx context.Context, addSeeds func([]string)) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	modified := p.modified()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-p.failed:
+			return err
+		case <-hangup:
+			p.reload(addSeeds)
+		case <-poll.C:
+			if at := p.modified(); !at.Equal(modified) {
+				modified = at
+				p.reload(addSeeds)
+			}
+		}
+	}
+}
+
+// modified returns when the settings file last changed.
+func (p *process) modified() time.Time {
+	info, err := os.Stat(p.path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload takes in the seeds of changed settings. Other settings take effect at
+// the next start.
+func (p *process) reload(addSeeds func([]string)) {
+	s, err := platform.ReadSettings(p.path)
+	if err != nil {
+		p.logger.WithError(err).Warn("changed settings are not used")
+		return
+	}
+	addSeeds(s.Seeds)
+	p.logger.WithField("seeds", s.Seeds).Info("settings reloaded")
+}
+
+func runEntry(ctx context.Context, p *process) error {
+	s := p.settings
+	g, err := gateway.New(gateway.Config{
+		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Regions: s.Regions, Seeds: s.Seeds,
+		Dialect: platform.Dialect{}, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, RetryRatio: s.RetryRatio,
+		Seed: uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
+	})
+	if err != nil {
+		return err
+	}
+	defer g.Close()
+	ingress := &platform.Ingress{Gateway: g}
+	callers, err := p.listen(s.CallerAddr, ingress)
+	if err != nil {
+		return err
+	}
+	ready, err := p.listen(s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Ready() && !ingress.Stopping.Load() }))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = ready.Close() }()
+	metrics, err := p.listenMetrics()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = metrics.Close() }()
+	if err := p.wait(ctx, g.AddSeeds); err != nil {
+		return err
+	}
+	p.logger.Info("draining")
+	ingress.Stopping.Store(true)
+	stopCtx, cancel := context.WithTimeout(context.Background(), s.Grace-stopMargin)
+	defer cancel()
+	time.Sleep(min(handoffTime, s.Grace/2))
+	return ignoreDeadline(callers.Shutdown(stopCtx))
+}
+
+// ignoreDeadline drops the error of a shutdown that ran out of its time: the
+// remaining requests end with the process.
+func ignoreDeadline(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+func runControl(ctx context.Context, p *process) error {
+	s := p.settings
+	c, err := controller.New(controller.Config{
+		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Seeds: s.Seeds,
+		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Tolerated: s.Tolerated,
+		Seed: uint64(time.Now().UnixNano()), Logger: p.logger,
+	})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	calls, err := p.listen(s.ControlAddr, &platform.Calls{Control: c, Logger: p.logger})
+	if err != nil {
+		return err
+	}
+	metrics, err := p.listenMetrics()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = metrics.Close() }()
+	if err := p.wait(ctx, c.AddSeeds); err != nil {
+		return err
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), controlStop)
+	defer cancel()
+	return ignoreDeadline(calls.Shutdown(stopCtx))
+}
--- a/cmd/flamingoreeld/settings.go
+++ b/cmd/flamingoreeld/settings.go
@@ -12,8 +12,28 @@
 	"github.com/urfave/cli/v3"
 )
 
-// exitSettings is the exit code for faulty settings.
-const exitSettings = 2
+// Exit codes.
+const (
+	// exitFailed is the code of a process that could not start or go on.
+	exitFailed = 1
+	// exitSettings is the code for faulty settings.
+	exitSettings = 2
+)
+
+// runError marks an error of the running process, as opposed to one of its
+// settings.
+type runError struct{ error }
+
+// Unwrap returns the cause.
+func (e *runError) Unwrap() error { return e.error }
+
+// ran marks the error of a run.
+func ran(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &runError{err}
+}
 
 // settings are the checked settings of the daemon.
 type settings struct {
@@ -40,8 +60,10 @@
 // command describes the daemon's flags.
 func command() *cli.Command {
 	return &cli.Command{
-		Name:  "flamingoreeld",
-		Usage: "route requests to targets that own their keys exclusively",
+		Name:           "flamingoreeld",
+		Usage:          "route requests to targets that own their keys exclusively",
+		Commands:       roleCommands(),
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Flags: []cli.Flag{
 			stringFlag("name", "", "name of this VM, unique in the cluster"),
 			stringFlag("region", "", "region of this VM"),
@@ -66,7 +88,7 @@
 				}
 				return cli.Exit("", exitSettings)
 			}
-			return run(ctx, s)
+			return ran(run(ctx, s))
 		},
 	}
 }
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,253 @@
+// Package controller runs a control VM of a deployment whose targets fetch their
+// keys by heartbeat. It holds a replica of the control log, answers targets and
+// operators at every VM by passing their calls to the leader, and streams the
+// state to entries.
+//
+// One goroutine owns the replica, the state and the registry; everything else
+// reaches them through post.
+package controller
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/link"
+	"github.com/flamingoreel/flamingoreel/internal/registry"
+	"github.com/flamingoreel/flamingoreel/internal/watch"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
+)
+
+// Config are the settings of a control VM. VMs are named by the address of
+// their links.
+type Config struct {
+	// Addr is the IP:port of this VM's links and its name.
+	Addr string
+	// Region and DataCentre are where this VM runs.
+	Region, DataCentre string
+	// Seeds are the link addresses of control VMs known at the start.
+	Seeds []string
+	// DataDir is the folder of the control log.
+	DataDir string
+	// Bootstrap is true at the first start of the whole deployment: the seeds
+	// then form the first voters.
+	Bootstrap bool
+	// Tolerated is how many control VMs may be lost at once.
+	Tolerated int
+	Seed      uint64
+	Logger    log.Interface
+}
+
+// Methods of the links.
+const (
+	methodHello  = "hello"
+	methodBeat   = "beat"
+	methodChange = "change"
+	methodRead   = "read"
+)
+
+// Controller is a running control VM.
+type Controller struct {
+	cfg     Config
+	started time.Time
+	links   *link.Node
+	loop    *loop
+	// leader is the link address of the leader that this VM follows.
+	leader atomic.Pointer[string]
+
+	mu sync.Mutex
+	// known holds the control VMs by address.
+	known map[string]watch.Peer
+	// watchers holds when each entry last asked for news, and its region.
+	watchers map[string]watcher
+	// entries is how many entries the deployment has in each region.
+	entries map[string]int
+
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+}
+
+// New starts a control VM.
+func New(cfg Config) (*Controller, error) {
+	c := &Controller{
+		cfg: cfg, started: time.Now(),
+		known: make(map[string]watch.Peer), watchers: make(map[string]watcher),
+	}
+	for _, seed := range cfg.Seeds {
+		c.known[seed] = watch.Peer{Addr: seed}
+	}
+	c.known[cfg.Addr] = watch.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}
+	links, err := link.Listen(watch.LinkConfig(cfg.Addr, cfg.Seed, cfg.Logger))
+	if err != nil {
+		return nil, err
+	}
+	c.links = links
+	c.loop = newLoop(c)
+	if err := c.loop.open(); err != nil {
+		_ = links.Close()
+		return nil, err
+	}
+	c.handle()
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	links.Serve()
+	for _, run := range []func(context.Context){c.loop.run, c.introduce} {
+		c.background.Add(1)
+		go func() {
+			defer c.background.Done()
+			run(ctx)
+		}()
+	}
+	return c, nil
+}
+
+// Close ends the VM at once.
+func (c *Controller) Close() {
+	c.cancel()
+	c.background.Wait()
+	_ = c.links.Close()
+	c.loop.close()
+}
+
+func (c *Controller) now() time.Duration { return time.Since(c.started) }
+
+// handle registers the handlers of the links.
+func (c *Controller) handle() {
+	c.links.Handle(watch.MethodReplica, c.replicaMessage)
+	c.links.Handle(methodHello, c.helloReceived)
+	c.links.Handle(methodBeat, func(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+		return c.leadBeat(ctx, payload)
+	})
+	c.links.Handle(methodChange, func(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+		return c.leadChange(ctx, payload)
+	})
+	c.links.Handle(methodRead, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		return c.leadRead(ctx)
+	})
+	c.links.Handle(watch.Method, c.watchReceived)
+}
+
+// Time limits of calls.
+const (
+	// callTimeout bounds one call to the leader: two round trips between regions
+	// and the syncs of a slow disk.
+	callTimeout = 800 * time.Millisecond
+	// findPause is the time between two looks for a leader.
+	findPause = 100 * time.Millisecond
+	// beatTimeout is below the second after which a target gives a call up.
+	beatTimeout = 900 * time.Millisecond
+	// changeTimeout bounds a change of the operators. They ask another VM after a
+	// second without an answer.
+	changeTimeout = 950 * time.Millisecond
+)
+
+// Beat passes a heartbeat to the leader. Errors: NotLeader when none was found.
+func (c *Controller) Beat(ctx context.Context, b registry.Beat) (registry.Grant, *errkind.Error) {
+	payload, err := wire.Marshal(&b)
+	if err != nil {
+		return registry.Grant{}, errkind.From(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	data, failure := c.callLeader(ctx, methodBeat, payload, c.leadBeat)
+	if failure != nil {
+		return registry.Grant{}, failure
+	}
+	var grant registry.Grant
+	if err := wire.Unmarshal(data, &grant); err != nil {
+		return registry.Grant{}, errkind.From(err)
+	}
+	return grant, nil
+}
+
+// Change commits a change of the operators. Errors: InvalidText for a change
+// that is refused, NotLeader, or a kind with outcome Unknown when the change
+// may still be committed; repeating a change is harmless.
+func (c *Controller) Change(ctx context.Context, cmd fleet.Command) *errkind.Error {
+	payload, err := wire.Marshal(&cmd)
+	if err != nil {
+		return errkind.From(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	_, failure := c.callLeader(ctx, methodChange, payload, c.leadChange)
+	return failure
+}
+
+// Items returns the configuration as the leader has it.
+func (c *Controller) Items(ctx context.Context) ([]items.Item, *errkind.Error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	data, failure := c.callLeader(ctx, methodRead, nil, func(ctx context.Context, _ []byte) ([]byte, error) { return c.leadRead(ctx) })
+	if failure != nil {
+		return nil, failure
+	}
+	var all []items.Item
+	if err := wire.Unmarshal(data, &all); err != nil {
+		return nil, errkind.From(err)
+	}
+	return all, nil
+}
+
+// callLeader runs a call at the leader, here or elsewhere, and looks for the
+// leader again until ctx ends. All calls may be repeated.
+func (c *Controller) callLeader(ctx context.Context, method string, payload []byte,
+	local func(context.Context, []byte) ([]byte, error),
+) ([]byte, *errkind.Error) {
+	failure := errkind.New(errkind.NotLeader, "the control leader is not known")
+	for ctx.Err() == nil {
+		leader := c.Leader()
+		var data []byte
+		var err error
+		switch leader {
+		case "":
+			err = failure
+		case c.cfg.Addr:
+			data, err = local(ctx, payload)
+		default:
+			data, err = c.callVM(ctx, leader, method, payload)
+		}
+		if err == nil {
+			return data, nil
+		}
+		failure = errkind.From(err)
+		if failure.Kind == errkind.InvalidText || failure.Kind == errkind.BadRequest {
+			return nil, failure
+		}
+		pause(ctx, findPause)
+	}
+	return nil, failure
+}
+
+func (c *Controller) callVM(ctx context.Context, addr, method string, payload []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c.links.SetPeer(addr, addr)
+	return c.links.Call(ctx, addr, method, payload)
+}
+
+// Leader returns the link address of the leader, or "" when none is known.
+func (c *Controller) Leader() string {
+	if p := c.leader.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+// pause waits for d and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/controller/lead.go
@@ -0,0 +1,235 @@
+package controller
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/registry"
+	"github.com/flamingoreel/flamingoreel/internal/watch"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
+)
+
+var errNotLeading = errkind.New(errkind.NotLeader, "this VM is not the control leader")
+
+// await returns the first value of a result, or an error when ctx ends.
+func await[T any](ctx context.Context, results <-chan T) (T, *errkind.Error) {
+	select {
+	case r := <-results:
+		return r, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, errkind.Wrap(errkind.AnswerTimeout, ctx.Err(), "the control goroutine did not answer in time")
+	}
+}
+
+// beatResult is a grant, or why there is none.
+type beatResult struct {
+	grant registry.Grant
+	// done, if set, gets the result of the command that must be committed before
+	// the heartbeat is acknowledged.
+	done <-chan *errkind.Error
+	err  *errkind.Error
+}
+
+// leadBeat handles a heartbeat as the leader. That a target stops taking work is
+// acknowledged only once it is committed, because the acknowledgement binds all
+// entries.
+func (c *Controller) leadBeat(ctx context.Context, payload []byte) ([]byte, error) {
+	var b registry.Beat
+	if err := wire.Unmarshal(payload, &b); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "heartbeat cannot be read")
+	}
+	results := make(chan beatResult, 1)
+	c.loop.post(ctx, func() { results <- c.loop.beat(b) })
+	r, failure := await(ctx, results)
+	if failure != nil {
+		return nil, failure
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	if r.done != nil {
+		committed, failure := await(ctx, r.done)
+		if failure != nil {
+			return nil, failure
+		}
+		if committed != nil {
+			return nil, committed
+		}
+	}
+	return wire.Marshal(&r.grant)
+}
+
+// beat runs on the control goroutine.
+func (l *loop) beat(b registry.Beat) beatResult {
+	now := l.c.now()
+	if !l.leading(now) {
+		return beatResult{err: errNotLeading}
+	}
+	if b.Target.Condition >= fleet.Left {
+		known, ok := l.state.Target(b.Target.ID)
+		if !ok || b.Target.Born != 0 && known.Born != b.Target.Born {
+			return beatResult{}
+		}
+		known.Condition, known.ColdFor = fleet.Left, 0
+		b.Target = known
+	}
+	grant, commands := l.registry.Beat(now, l.state, b)
+	result := beatResult{grant: grant}
+	for _, cmd := range commands {
+		var done chan *errkind.Error
+		if len(cmd.Targets) > 0 {
+			t := cmd.Targets[0]
+			l.logger.WithFields(log.Fields{
+				"target": t.ID, "service": t.Service, "address": t.Address, "condition": t.Condition.String(), "cold_for": t.ColdFor,
+			}).Info("target changed")
+			if t.Condition > fleet.Ready {
+				done = make(chan *errkind.Error, 1)
+				result.done = done
+			}
+		}
+		l.propose(now, cmd, done)
+	}
+	return result
+}
+
+// leadChange commits a change of the operators as the leader.
+func (c *Controller) leadChange(ctx context.Context, payload []byte) ([]byte, error) {
+	var cmd fleet.Command
+	if err := wire.Unmarshal(payload, &cmd); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "change cannot be read")
+	}
+	done := make(chan *errkind.Error, 1)
+	c.loop.post(ctx, func() {
+		now := c.now()
+		if !c.loop.leading(now) || !c.loop.enoughVoters(now) {
+			done <- errNotLeading
+			return
+		}
+		c.loop.propose(now, cmd, done)
+	})
+	result, failure := await(ctx, done)
+	if failure != nil {
+		return nil, failure
+	}
+	c.logChange(cmd, result)
+	if result != nil {
+		return nil, result
+	}
+	return nil, nil
+}
+
+// logChange records the outcome of an operators' change.
+func (c *Controller) logChange(cmd fleet.Command, result *errkind.Error) {
+	entry := c.cfg.Logger.WithField("accepted", result == nil)
+	if result != nil {
+		entry = entry.WithField("reason", result.Error())
+	}
+	if cmd.Patch != nil {
+		for _, item := range cmd.Patch.Items[:min(len(cmd.Patch.Items), maxLoggedItems)] {
+			entry.WithFields(log.Fields{"collection": item.Collection, "name": item.Name, "version": item.Version, "dropped": item.Dropped}).Info("item change")
+		}
+	}
+	if cmd.DataCentre != nil {
+		entry.WithFields(log.Fields{"data_centre": cmd.DataCentre.Name, "out": cmd.DataCentre.Out}).Info("data centre change")
+	}
+}
+
+// maxLoggedItems bounds the lines for one change: a change may bring hundreds
+// of routes.
+const maxLoggedItems = 8
+
+// leadRead returns all items as the leader.
+func (c *Controller) leadRead(ctx context.Context) ([]byte, error) {
+	type result struct {
+		all []items.Item
+		err *errkind.Error
+	}
+	results := make(chan result, 1)
+	c.loop.post(ctx, func() {
+		if !c.loop.leading(c.now()) {
+			results <- result{err: errNotLeading}
+			return
+		}
+		results <- result{all: c.loop.state.Items().All()}
+	})
+	r, failure := await(ctx, results)
+	if failure != nil {
+		return nil, failure
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	return wire.Marshal(r.all)
+}
+
+// watchReceived answers an entry once there is something new or the wait ends.
+func (c *Controller) watchReceived(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var req watch.Request
+	if err := wire.Unmarshal(payload, &req); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "watch cannot be read")
+	}
+	c.noteWatcher(req)
+	timer := time.NewTimer(min(req.Wait, watch.MaxWait))
+	defer timer.Stop()
+	for {
+		answer, changed, failure := c.look(ctx, req)
+		if failure != nil {
+			return nil, failure
+		}
+		if !answer.Delta.Empty() {
+			return wire.Marshal(&answer)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return wire.Marshal(&answer)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// noteWatcher remembers an entry that follows this VM.
+func (c *Controller) noteWatcher(req watch.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watchers[req.Entry] = watcher{region: req.Region, at: c.now()}
+}
+
+// looked is one look at the state.
+type looked struct {
+	answer  watch.Answer
+	changed <-chan struct{}
+}
+
+// look returns what an entry lacks and a channel that closes at the next change.
+func (c *Controller) look(ctx context.Context, req watch.Request) (watch.Answer, <-chan struct{}, *errkind.Error) {
+	results := make(chan looked, 1)
+	known := c.Known()
+	c.mu.Lock()
+	entries := maps.Clone(c.entries)
+	c.mu.Unlock()
+	c.loop.post(ctx, func() {
+		l := c.loop
+		now := c.now()
+		a := watch.Answer{Known: known, Entries: entries, Age: now - l.leaderHeard}
+		if l.leading(now) {
+			a.Age = 0
+		}
+		if l.state.Revision() >= req.Revision {
+			a.Delta = l.state.Since(req.Revision)
+		} else {
+			a.Delta = fleet.Delta{From: req.Revision, To: req.Revision}
+		}
+		results <- looked{a, l.changed}
+	})
+	r, failure := await(ctx, results)
+	return r.answer, r.changed, failure
+}
--- /dev/null
+++ b/internal/controller/loop.go
@@ -0,0 +1,400 @@
+package controller
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingoreel/flamingoreel/internal/consensus"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/registry"
+	"github.com/flamingoreel/flamingoreel/internal/storage"
+	"github.com/flamingoreel/flamingoreel/internal/watch"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
+)
+
+// Intervals of the control goroutine and of the replica. They are longer than
+// the defaults of consensus, because bytes between regions are priced: four
+// followers at 150 ms cost about 5 KB/s.
+const (
+	tickInterval      = 30 * time.Millisecond
+	planInterval      = 60 * time.Millisecond
+	memberInterval    = 300 * time.Millisecond
+	heartbeatInterval = 150 * time.Millisecond
+	electionMin       = 600 * time.Millisecond
+	electionMax       = 900 * time.Millisecond
+	leaderLease       = 500 * time.Millisecond
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 1024
+	// eventBatch is the number of events handled before their effects are synced.
+	eventBatch = 64
+	// compactEvery is the number of entries between two snapshots.
+	compactEvery = 1024
+)
+
+// loop is the control goroutine.
+type loop struct {
+	c      *Controller
+	logger log.Interface
+	events chan func()
+	ended  chan struct{}
+
+	store     *storage.Store
+	replicaID string
+	replica   *consensus.Node
+	failed    bool
+
+	state     *fleet.State
+	applied   uint64
+	compacted uint64
+	// changed is closed and replaced whenever the state changes.
+	changed chan struct{}
+
+	registry    *registry.Registry
+	electedAt   time.Duration
+	lastPlan    time.Duration
+	lastMember  time.Duration
+	candidates  map[string]candidate
+	waiting     map[uint64]proposal
+	leaderHeard time.Duration
+}
+
+// proposal waits for its entry to be committed.
+type proposal struct {
+	term uint64
+	done chan<- *errkind.Error
+}
+
+func newLoop(c *Controller) *loop {
+	return &loop{
+		c: c, logger: c.cfg.Logger,
+		events: make(chan func(), eventQueue), ended: make(chan struct{}),
+		state: fleet.NewState(), changed: make(chan struct{}),
+		candidates: make(map[string]candidate), waiting: make(map[uint64]proposal),
+	}
+}
+
+// vmOf returns the VM of a replica ID, which is "address/identity".
+func vmOf(replicaID string) string {
+	addr, _, _ := strings.Cut(replicaID, "/")
+	return addr
+}
+
+// open opens the data directory and starts the replica from it. An empty one
+// begins the first log on a seed at the first start and otherwise gets a new
+// identity, so that a replica that lost its disk never votes as the old one.
+func (l *loop) open() error {
+	store, rec, err := storage.Open(l.c.cfg.DataDir)
+	if err != nil {
+		return err
+	}
+	l.store = store
+	l.replicaID = rec.ReplicaID
+	empty := rec.Snapshot == nil && len(rec.Entries) == 0 && rec.HardState.Term == 0
+	first := l.firstVoters()
+	if l.replicaID == "" {
+		if l.replicaID, err = l.drawIdentity(first); err != nil {
+			return err
+		}
+		if err := store.SetReplicaID(l.replicaID); err != nil {
+			return err
+		}
+	}
+	if empty && first.IsVoter(l.replicaID) {
+		hs, entries, err := consensus.InitialLog(first)
+		if err != nil {
+			return err
+		}
+		if err := store.Save(&hs, entries); err != nil {
+			return err
+		}
+		rec.HardState, rec.Entries = hs, entries
+	}
+	return l.startReplica(rec)
+}
+
+// firstVoters returns the membership with which the log begins: the seeds, at
+// the first start of the deployment. All VMs have the same seeds then.
+func (l *loop) firstVoters() consensus.Membership {
+	if !l.c.cfg.Bootstrap {
+		return consensus.Membership{}
+	}
+	var m consensus.Membership
+	for _, seed := range l.c.cfg.Seeds {
+		m = m.WithVoter(seed + "/" + storage.BootstrapIdentity)
+	}
+	return m
+}
+
+func (l *loop) drawIdentity(first consensus.Membership) (string, error) {
+	own := l.c.cfg.Addr + "/" + storage.BootstrapIdentity
+	if first.IsVoter(own) {
+		return own, nil
+	}
+	return storage.DrawReplicaID(l.c.cfg.Addr)
+}
+
+func (l *loop) startReplica(rec storage.Recovered) error {
+	replica, err := consensus.New(consensus.Config{
+		ID: l.replicaID, Seed: l.c.cfg.Seed,
+		HeartbeatInterval: heartbeatInterval, ElectionMin: electionMin, ElectionMax: electionMax,
+		LeaderLease: leaderLease,
+	}, consensus.Membership{}, rec.HardState, rec.Snapshot, rec.Entries)
+	if err != nil {
+		return err
+	}
+	if rec.Snapshot != nil {
+		l.install(*rec.Snapshot)
+	}
+	l.replica = replica
+	l.logger.WithFields(log.Fields{
+		"replica": l.replicaID, "voters": len(replica.Membership().Voters),
+		"entries": len(rec.Entries), "applied": l.applied,
+	}).Info("replica started")
+	return nil
+}
+
+// post hands an event to the control goroutine. It reports false once that has
+// ended or ctx has.
+func (l *loop) post(ctx context.Context, event func()) bool {
+	select {
+	case l.events <- event:
+		return true
+	case <-l.ended:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// run handles events and ticks until ctx ends.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.ended)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-l.events:
+			event()
+			l.handleBatch()
+		case <-ticker.C:
+			l.tick()
+		}
+		l.process()
+	}
+}
+
+func (l *loop) handleBatch() {
+	for range eventBatch {
+		select {
+		case event := <-l.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) tick() {
+	now := l.c.now()
+	if l.failed {
+		return
+	}
+	l.replica.Tick(now)
+	l.watchLeadership(now)
+	if !l.leading(now) {
+		return
+	}
+	if now-l.lastPlan >= planInterval {
+		l.lastPlan = now
+		l.proposeAll(now, l.registry.Plan(now, l.state))
+	}
+	if now-l.lastMember >= memberInterval {
+		l.lastMember = now
+		l.reconcileMembers(now)
+	}
+}
+
+// leading reports whether this VM may act as leader now.
+func (l *loop) leading(now time.Duration) bool {
+	return !l.failed && l.registry != nil && l.replica.LeaseValid(now)
+}
+
+// watchLeadership begins a registry when leadership begins and drops it, with
+// all waiting proposals, when leadership ends.
+func (l *loop) watchLeadership(now time.Duration) {
+	leads := l.replica.Role() == consensus.Leader && l.replica.ReadIndexReady()
+	switch {
+	case leads && l.registry == nil:
+		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Info("control leadership gained")
+		l.registry = registry.New(now)
+		l.electedAt = now
+	case !leads && l.registry != nil:
+		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Warn("control leadership lost")
+		l.registry = nil
+		for index, p := range l.waiting {
+			p.done <- errkind.New(errkind.Internal, "control leadership was lost before the change was confirmed")
+			delete(l.waiting, index)
+		}
+	}
+	l.publishLeader()
+}
+
+// publishLeader makes the leader known to the goroutines that pass calls on.
+func (l *loop) publishLeader() {
+	leader := vmOf(l.replica.Leader())
+	if leader == l.c.cfg.Addr && l.registry == nil {
+		leader = ""
+	}
+	// A follower that hears from no leader keeps the last one as a hint: a replica
+	// outside the membership learns it from introductions only.
+	hint := leader == "" && l.replica.Role() == consensus.Follower && l.c.Leader() != l.c.cfg.Addr
+	if leader != l.c.Leader() && !hint {
+		l.c.leader.Store(&leader)
+		l.logger.WithFields(log.Fields{"leader": leader, "term": l.replica.Term()}).Info("control leader changed")
+	}
+}
+
+func (l *loop) proposeAll(now time.Duration, commands []fleet.Command) {
+	for _, cmd := range commands {
+		l.propose(now, cmd, nil)
+	}
+}
+
+// propose replicates a command. done, if not nil, gets the result of applying
+// it; it needs room for one value.
+func (l *loop) propose(now time.Duration, cmd fleet.Command, done chan<- *errkind.Error) {
+	data, err := wire.Marshal(&cmd)
+	if err == nil {
+		var index, term uint64
+		if index, term, err = l.replica.Propose(now, data); err == nil {
+			if done != nil {
+				l.waiting[index] = proposal{term: term, done: done}
+			}
+			return
+		}
+	}
+	l.logger.WithError(err).Warn("command not proposed")
+	if done != nil {
+		done <- errkind.From(err)
+	}
+}
+
+// process carries out what the replica asks for: sync, send, apply.
+func (l *loop) process() {
+	for !l.failed && l.replica.HasReady() {
+		ready := l.replica.Ready()
+		if err := l.store.SaveReady(ready); err != nil {
+			l.fail(err)
+			return
+		}
+		if ready.Snapshot != nil {
+			l.install(*ready.Snapshot)
+		}
+		l.send(ready.Messages)
+		l.applyAll(ready.Committed)
+		l.replica.Advance(l.c.now(), ready)
+		l.compact()
+	}
+	if !l.failed {
+		l.watchLeadership(l.c.now())
+	}
+}
+
+// fail silences the replica: it must not acknowledge what may not be on disk.
+// The VM goes on passing calls to the leader.
+func (l *loop) fail(err error) {
+	l.failed = true
+	l.registry = nil
+	for index, p := range l.waiting {
+		p.done <- errkind.Wrap(errkind.DiskFailed, err, "storage failed")
+		delete(l.waiting, index)
+	}
+	l.logger.WithError(err).Error("storage failed, the replica stops acknowledging")
+}
+
+func (l *loop) install(snap consensus.Snapshot) {
+	if snap.Index <= l.applied || len(snap.Data) == 0 {
+		return
+	}
+	state, err := fleet.Restore(snap.Data)
+	if err != nil {
+		l.fail(err)
+		return
+	}
+	l.state, l.applied, l.compacted = state, snap.Index, snap.Index
+	l.notify()
+}
+
+func (l *loop) send(messages []consensus.Message) {
+	for _, m := range messages {
+		payload, err := consensus.EncodeMessage(m)
+		if err != nil {
+			l.logger.WithError(err).Error("message cannot be encoded")
+			continue
+		}
+		l.c.links.SetPeer(vmOf(m.To), vmOf(m.To))
+		l.c.links.Send(vmOf(m.To), watch.MethodReplica, payload)
+	}
+}
+
+func (l *loop) applyAll(entries []consensus.Entry) {
+	changed := false
+	for _, e := range entries {
+		l.applied = e.Index
+		if e.Type != consensus.EntryCommand {
+			l.logMembership(e)
+			continue
+		}
+		result := l.state.Apply(e.Index, e.Data)
+		changed = changed || len(e.Data) > 0
+		if p, ok := l.waiting[e.Index]; ok {
+			delete(l.waiting, e.Index)
+			if p.term != e.Term {
+				result = errkind.New(errkind.Internal, "the change was replaced by one of another leader")
+			}
+			p.done <- result
+		}
+	}
+	if changed {
+		l.notify()
+	}
+}
+
+func (l *loop) logMembership(e consensus.Entry) {
+	if m, err := consensus.DecodeMembership(e); err == nil {
+		l.logger.WithFields(log.Fields{
+			"index": e.Index, "voters": strings.Join(m.Voters, ","), "learners": strings.Join(m.Learners, ","),
+		}).Info("membership changed")
+	}
+}
+
+// notify wakes the watches.
+func (l *loop) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// compact replaces applied entries by a snapshot from time to time.
+func (l *loop) compact() {
+	if l.applied-l.compacted < compactEvery {
+		return
+	}
+	data, err := l.state.Snapshot()
+	if err != nil {
+		l.logger.WithError(err).Error("snapshot cannot be written")
+		return
+	}
+	l.compacted = l.applied
+	l.replica.Compact(l.applied, data)
+}
+
+func (l *loop) close() {
+	if l.store != nil {
+		_ = l.store.Close()
+	}
+}
--- /dev/null
+++ b/internal/controller/members.go
@@ -0,0 +1,322 @@
+package controller
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingoreel/flamingoreel/internal/consensus"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/watch"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
+)
+
+// Time limits of the membership.
+const (
+	// helloInterval is the time between two introductions to the other control
+	// VMs. It bounds how long a new VM waits to be added.
+	helloInterval = time.Second
+	// firstHello is the interval until a leader is known.
+	firstHello = 200 * time.Millisecond
+	// helloTimeout bounds one introduction.
+	helloTimeout = 500 * time.Millisecond
+	// freshCandidate is how old an introduction may be: three missed ones.
+	freshCandidate = 3 * time.Second
+	// lostVoter is the silence after which a waiting replica takes a voter's
+	// place. It is above a restart and a freeze of a few seconds.
+	lostVoter = 6 * time.Second
+	// formingTime is how long a new leader waits for the voters that the
+	// tolerated losses need before it confirms changes with fewer.
+	formingTime = 3 * time.Second
+	// maxLearners bounds the replicas that receive the log without a vote.
+	maxLearners = 2
+)
+
+// hello introduces a control VM and its replica.
+type hello struct {
+	Peer      watch.Peer `msgpack:"p"`
+	ReplicaID string     `msgpack:"r"`
+	// Watchers counts the entries that follow this VM, by region.
+	Watchers map[string]int `msgpack:"w"`
+}
+
+// helloReply names the leader, if known, and other control VMs.
+type helloReply struct {
+	Leader string       `msgpack:"l"`
+	Known  []watch.Peer `msgpack:"k"`
+	// Entries counts the entries of the deployment by region; nil unless the
+	// leader answers.
+	Entries map[string]int `msgpack:"e"`
+}
+
+// candidate is the newest introduction of a control VM.
+type candidate struct {
+	replicaID string
+	watchers  map[string]int
+	at        time.Duration
+}
+
+// watcher is an entry that follows this VM.
+type watcher struct {
+	region string
+	at     time.Duration
+}
+
+// introduce tells the leader, or while none is known all control VMs, that this
+// VM is there.
+func (c *Controller) introduce(ctx context.Context) {
+	for {
+		leader := c.Leader()
+		interval := helloInterval
+		targets := []watch.Peer{{Addr: leader}}
+		if leader == "" {
+			interval = firstHello
+			targets = c.Known()
+		}
+		if leader == c.cfg.Addr {
+			c.loop.post(ctx, c.loop.countEntries)
+			targets = nil
+		}
+		for _, peer := range targets {
+			c.sayHello(ctx, peer.Addr)
+		}
+		if !pause(ctx, interval) {
+			return
+		}
+	}
+}
+
+func (c *Controller) sayHello(ctx context.Context, addr string) {
+	if addr == c.cfg.Addr {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	payload, err := wire.Marshal(&hello{Peer: c.self(), ReplicaID: c.loop.replicaID, Watchers: c.watching()})
+	if err != nil {
+		c.cfg.Logger.WithError(err).Error("introduction cannot be encoded")
+		return
+	}
+	c.links.SetPeer(addr, addr)
+	data, err := c.links.Call(ctx, addr, methodHello, payload)
+	if err != nil {
+		c.forgetLeader(addr)
+		return
+	}
+	var reply helloReply
+	if err := wire.Unmarshal(data, &reply); err != nil {
+		c.cfg.Logger.WithError(err).Warn("answer to an introduction cannot be read")
+		return
+	}
+	c.learn(reply.Known)
+	if reply.Entries != nil {
+		c.setEntries(reply.Entries)
+	}
+	if reply.Leader != "" && reply.Leader != c.cfg.Addr && c.Leader() == "" {
+		c.leader.Store(&reply.Leader)
+	}
+}
+
+// forgetLeader drops a leader that does not answer, so that the VM introduces
+// itself to all others again. The replica sets it anew when it hears from it.
+func (c *Controller) forgetLeader(addr string) {
+	if c.Leader() == addr {
+		none := ""
+		c.leader.Store(&none)
+	}
+}
+
+func (c *Controller) self() watch.Peer {
+	return watch.Peer{Addr: c.cfg.Addr, DataCentre: c.cfg.DataCentre, Region: c.cfg.Region}
+}
+
+// Known returns the control VMs by address.
+func (c *Controller) Known() []watch.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var peers []watch.Peer
+	for _, addr := range slices.Sorted(maps.Keys(c.known)) {
+		peers = append(peers, c.known[addr])
+	}
+	return peers
+}
+
+// learn remembers control VMs; what a VM says of its place stays known.
+func (c *Controller) learn(peers []watch.Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range peers {
+		if held, ok := c.known[p.Addr]; !ok || held.Region == "" {
+			c.known[p.Addr] = p
+		}
+	}
+}
+
+// AddSeeds adds control VMs that changed settings name.
+func (c *Controller) AddSeeds(addrs []string) {
+	for _, addr := range addrs {
+		c.learn([]watch.Peer{{Addr: addr}})
+	}
+}
+
+// watching counts the entries that followed this VM lately, by region.
+func (c *Controller) watching() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make(map[string]int)
+	for addr, w := range c.watchers {
+		if c.now()-w.at > freshCandidate {
+			delete(c.watchers, addr)
+			continue
+		}
+		counts[w.region]++
+	}
+	return counts
+}
+
+func (c *Controller) setEntries(counts map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = counts
+}
+
+// countEntries adds up the entries of the deployment on the leader.
+func (l *loop) countEntries() {
+	counts := l.c.watching()
+	for addr, cand := range l.candidates {
+		if addr == l.c.cfg.Addr || l.c.now()-cand.at > freshCandidate {
+			continue
+		}
+		for region, n := range cand.watchers {
+			counts[region] += n
+		}
+	}
+	l.c.setEntries(counts)
+}
+
+// helloReceived records a control VM as a candidate.
+func (c *Controller) helloReceived(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var h hello
+	if err := wire.Unmarshal(payload, &h); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "introduction cannot be read")
+	}
+	c.learn([]watch.Peer{h.Peer})
+	c.loop.post(ctx, func() {
+		c.loop.candidates[h.Peer.Addr] = candidate{replicaID: h.ReplicaID, watchers: h.Watchers, at: c.now()}
+	})
+	reply := helloReply{Leader: c.Leader(), Known: c.Known()}
+	if reply.Leader == c.cfg.Addr {
+		c.mu.Lock()
+		reply.Entries = maps.Clone(c.entries)
+		c.mu.Unlock()
+	}
+	return wire.Marshal(&reply)
+}
+
+// replicaMessage hands a message to the replica.
+func (c *Controller) replicaMessage(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	m, err := consensus.DecodeMessage(payload)
+	if err != nil {
+		return nil, err
+	}
+	c.loop.post(ctx, func() {
+		if c.loop.failed {
+			return
+		}
+		now := c.now()
+		if m.Type == consensus.MsgAppend || m.Type == consensus.MsgSnapshot {
+			c.loop.leaderHeard = now
+		}
+		c.loop.replica.Step(now, m)
+	})
+	return nil, nil
+}
+
+// reconcileMembers brings the members towards the wanted number of voters, one
+// change at a time.
+func (l *loop) reconcileMembers(now time.Duration) {
+	status := l.replica.Status(now)
+	next, reason := nextMembership(memberView{
+		current: l.replica.Membership(), self: l.replicaID, wanted: 2*l.c.cfg.Tolerated + 1,
+		candidates: l.freshCandidates(now), replicas: status.Replicas,
+	})
+	if reason == "" {
+		return
+	}
+	if _, _, err := l.replica.ProposeMembership(now, next); err != nil {
+		l.logger.WithError(err).Debug("membership change postponed")
+		return
+	}
+	l.logger.WithFields(log.Fields{"reason": reason, "voters": len(next.Voters), "learners": len(next.Learners)}).Info("membership change proposed")
+}
+
+func (l *loop) freshCandidates(now time.Duration) []string {
+	var ids []string
+	for _, addr := range slices.Sorted(maps.Keys(l.candidates)) {
+		if c := l.candidates[addr]; now-c.at < freshCandidate {
+			ids = append(ids, c.replicaID)
+		}
+	}
+	return ids
+}
+
+// memberView is what decides the next change of the membership.
+type memberView struct {
+	current consensus.Membership
+	self    string
+	wanted  int
+	// candidates are the replicas that introduced themselves lately, by address.
+	candidates []string
+	replicas   []consensus.ReplicaStatus
+}
+
+// nextMembership returns the next membership and why, or no reason when nothing
+// is to change. A replica with a new identity replaces the one that its VM had
+// before; a voter that is silent for long gives its place to a replica that has
+// caught up.
+func nextMembership(v memberView) (consensus.Membership, string) {
+	m := v.current
+	for _, id := range v.candidates {
+		if m.IsVoter(id) || m.IsLearner(id) {
+			continue
+		}
+		for _, old := range m.Members() {
+			if vmOf(old) == vmOf(id) && old != v.self {
+				return m.Without(old), "identity replaced"
+			}
+		}
+		if len(m.Learners) < maxLearners {
+			return m.WithLearner(id), "replica introduced itself"
+		}
+	}
+	spare := ""
+	for _, r := range v.replicas {
+		switch {
+		case !r.Voter && r.Silence > lostVoter:
+			return m.Without(r.ID), "learner is silent"
+		case !r.Voter && r.CaughtUp && spare == "":
+			spare = r.ID
+		}
+	}
+	if spare == "" {
+		return m, ""
+	}
+	if len(m.Voters) < v.wanted {
+		return m.WithVoter(spare), "replica caught up"
+	}
+	for _, r := range v.replicas {
+		if r.Voter && r.ID != v.self && r.Silence > lostVoter {
+			return m.Without(r.ID), "voter is silent"
+		}
+	}
+	return m, ""
+}
+
+// enoughVoters reports whether changes may be confirmed: as many replicas as
+// the tolerated losses need vote, or the leader waited for them long enough.
+func (l *loop) enoughVoters(now time.Duration) bool {
+	return len(l.replica.Membership().Voters) > 2*l.c.cfg.Tolerated || now-l.electedAt > formingTime
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -28,6 +28,7 @@
 const (
 	BadRequest        Kind = "bad_request"
 	UnknownService    Kind = "unknown_service"
+	UnknownRoute      Kind = "unknown_route"
 	UnknownTenant     Kind = "unknown_tenant"
 	ExpiredID         Kind = "expired_id"
 	IDReused          Kind = "id_reused"
@@ -72,6 +73,7 @@
 var table = map[Kind]Answer{
 	BadRequest:     {http.StatusBadRequest, NotRun, false},
 	UnknownService: {http.StatusNotFound, NotRun, false},
+	UnknownRoute:   {http.StatusNotFound, NotRun, false},
 	UnknownTenant:  {http.StatusForbidden, NotRun, false},
 	// An expired ID is not run now but may have run within the retention.
 	ExpiredID:         {http.StatusConflict, Unknown, false},
--- /dev/null
+++ b/internal/fleet/state.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
+)
+
+// goneKept bounds the ended incarnations that are kept. They stop late
+// heartbeats from reviving a target and tell entries that were cut off.
+const goneKept = 2048
+
+// State is the state machine of the control log. It is not safe for concurrent
+// use.
+type State struct {
+	revision    uint64
+	items       *items.Set
+	targets     map[string]Target
+	shards      map[string]Shard
+	dataCentres map[string]DataCentre
+}
+
+// NewState returns the state before the first command.
+func NewState() *State {
+	return &State{
+		items:       items.NewSet(),
+		targets:     make(map[string]Target),
+		shards:      make(map[string]Shard),
+		dataCentres: make(map[string]DataCentre),
+	}
+}
+
+// Revision returns the log index of the last applied command.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Items returns the configuration items.
+func (s *State) Items() *items.Set { return s.items }
+
+// Target returns the newest known incarnation of a target.
+func (s *State) Target(id string) (Target, bool) {
+	t, ok := s.targets[id]
+	return t, ok
+}
+
+// Targets returns the newest incarnation of every target by ID, ended ones
+// included.
+func (s *State) Targets() []Target {
+	all := make([]Target, 0, len(s.targets))
+	for _, t := range s.targets {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Shard returns the division of the keys of a service.
+func (s *State) Shard(service string) (Shard, bool) {
+	sh, ok := s.shards[service]
+	return sh, ok
+}
+
+// DataCentreOut reports whether the operators took a data centre out.
+func (s *State) DataCentreOut(name string) bool { return s.dataCentres[name].Out }
+
+// Apply applies the command at a log index. A command that cannot be decoded
+// or that is refused changes nothing but the revision. Errors: *errkind.Error
+// of kind InvalidText for a refused change, Internal for bad data.
+func (s *State) Apply(index uint64, data []byte) *errkind.Error {
+	s.revision = index
+	if len(data) == 0 {
+		return nil
+	}
+	var cmd Command
+	if err := wire.Unmarshal(data, &cmd); err != nil {
+		return errkind.Wrap(errkind.Internal, err, "command %d cannot be decoded", index)
+	}
+	switch {
+	case cmd.Patch != nil:
+		return s.items.Apply(*cmd.Patch, index)
+	case cmd.DataCentre != nil:
+		dc := *cmd.DataCentre
+		if s.dataCentres[dc.Name].Out != dc.Out {
+			dc.Revision = index
+			s.dataCentres[dc.Name] = dc
+		}
+	case cmd.Shard != nil:
+		s.applyShard(index, *cmd.Shard)
+	default:
+		for _, t := range cmd.Targets {
+			s.applyTarget(index, t)
+		}
+	}
+	return nil
+}
+
+// applyTarget takes in a target unless it is older than what is known of its ID
+// or of its address. A condition never goes back within an incarnation.
+func (s *State) applyTarget(index uint64, t Target) {
+	known, ok := s.targets[t.ID]
+	if ok && (known.Born > t.Born || known.Born == t.Born && known.Condition > t.Condition) {
+		return
+	}
+	if t.Condition < Left && !s.claimAddress(index, t) {
+		return
+	}
+	t.Revision = index
+	s.targets[t.ID] = t
+	s.forgetOldest()
+}
+
+// claimAddress ends other incarnations at the target's address that started
+// earlier. It reports false when a later one has the address: the target's call
+// was then delayed and its sender is gone.
+func (s *State) claimAddress(index uint64, t Target) bool {
+	for id, other := range s.targets {
+		if id == t.ID || other.Address != t.Address || other.Condition == Ended {
+			continue
+		}
+		if other.Born > t.Born {
+			return false
+		}
+		other.Condition = Ended
+		other.Revision = index
+		s.targets[id] = other
+	}
+	return true
+}
+
+// forgetOldest bounds the number of ended incarnations.
+func (s *State) forgetOldest() {
+	if len(s.targets) <= goneKept {
+		return
+	}
+	oldest, found := Target{}, false
+	for _, t := range s.targets {
+		if t.Condition >= Left && (!found || t.Revision < oldest.Revision) {
+			oldest, found = t, true
+		}
+	}
+	if found {
+		delete(s.targets, oldest.ID)
+	}
+}
+
+// applyShard replaces the rows of a service if the plan was made from the rows
+// that stand and its rows are well formed.
+func (s *State) applyShard(index uint64, change ShardChange) {
+	held := s.shards[change.Shard.Service]
+	if held.Revision != change.Base || !wellFormed(change.Shard.Rows) || change.Shard.LastFence < held.LastFence {
+		return
+	}
+	change.Shard.Revision = index
+	s.shards[change.Shard.Service] = change.Shard
+}
+
+// wellFormed reports whether rows cover all keys once, in order.
+func wellFormed(rows []Row) bool {
+	next := 0
+	for _, r := range rows {
+		if r.From != next || r.To < r.From || r.To > MaxKey {
+			return false
+		}
+		next = r.To + 1
+	}
+	return next == MaxKey+1
+}
+
+// Since returns what changed after a revision.
+func (s *State) Since(revision uint64) Delta {
+	d := Delta{From: revision, To: s.revision}
+	for _, item := range s.items.All() {
+		if item.Revision > revision {
+			item.Source = nil
+			d.Items = append(d.Items, item)
+		}
+	}
+	for _, t := range s.Targets() {
+		if t.Revision > revision && (revision > 0 || t.Condition < Left) {
+			d.Targets = append(d.Targets, t)
+		}
+	}
+	for _, sh := range s.shards {
+		if sh.Revision > revision {
+			d.Shards = append(d.Shards, sh)
+		}
+	}
+	for _, dc := range s.dataCentres {
+		if dc.Revision > revision {
+			d.DataCentres = append(d.DataCentres, dc)
+		}
+	}
+	return d
+}
+
+// image is the encoded form of a State.
+type image struct {
+	Revision    uint64       `msgpack:"v"`
+	Items       []items.Item `msgpack:"i"`
+	Targets     []Target     `msgpack:"t"`
+	Shards      []Shard      `msgpack:"s"`
+	DataCentres []DataCentre `msgpack:"d"`
+}
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) {
+	img := image{Revision: s.revision, Items: s.items.All(), Targets: s.Targets()}
+	for _, sh := range s.shards {
+		img.Shards = append(img.Shards, sh)
+	}
+	for _, dc := range s.dataCentres {
+		img.DataCentres = append(img.DataCentres, dc)
+	}
+	return wire.Marshal(&img)
+}
+
+// Restore decodes a Snapshot.
+func Restore(data []byte) (*State, error) {
+	var img image
+	if err := wire.Unmarshal(data, &img); err != nil {
+		return nil, err
+	}
+	s := NewState()
+	s.revision = img.Revision
+	s.items = items.Restore(img.Items)
+	for _, t := range img.Targets {
+		s.targets[t.ID] = t
+	}
+	for _, sh := range img.Shards {
+		s.shards[sh.Service] = sh
+	}
+	for _, dc := range img.DataCentres {
+		s.dataCentres[dc.Name] = dc
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,184 @@
+package fleet
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/items"
+)
+
+// Endpoint is a target as an entry sees it.
+type Endpoint struct {
+	Target
+	// ColdUntil is the entry's monotonic time at which the target stops being
+	// cold.
+	ColdUntil time.Duration
+}
+
+// View is an immutable copy of the state for traffic.
+type View struct {
+	revision    uint64
+	configured  bool
+	items       map[items.Key]items.Item
+	matcher     *items.Matcher
+	endpoints   map[string]*Endpoint
+	byService   map[string][]*Endpoint
+	shards      map[string]Shard
+	dataCentres map[string]DataCentre
+}
+
+// NewView returns the view of an entry that knows nothing yet.
+func NewView() *View {
+	return &View{
+		items: map[items.Key]items.Item{}, matcher: items.NewMatcher(nil),
+		endpoints: map[string]*Endpoint{}, byService: map[string][]*Endpoint{},
+		shards: map[string]Shard{}, dataCentres: map[string]DataCentre{},
+	}
+}
+
+// With returns the view after a delta that was received at now. The delta must
+// start at or before the view's revision.
+func (v *View) With(d Delta, now time.Duration) *View {
+	next := &View{
+		revision: max(v.revision, d.To), configured: v.configured,
+		items: v.items, matcher: v.matcher, endpoints: v.endpoints, byService: v.byService,
+		shards: v.shards, dataCentres: v.dataCentres,
+	}
+	if len(d.Items) > 0 {
+		next.takeItems(d.Items)
+	}
+	if len(d.Shards) > 0 {
+		next.shards = cloneWith(v.shards, d.Shards, func(s Shard) string { return s.Service })
+	}
+	if len(d.DataCentres) > 0 {
+		next.dataCentres = cloneWith(v.dataCentres, d.DataCentres, func(dc DataCentre) string { return dc.Name })
+	}
+	if len(d.Targets)+len(d.DataCentres) > 0 {
+		next.takeTargets(d, now)
+	}
+	return next
+}
+
+func cloneWith[T any](old map[string]T, changed []T, name func(T) string) map[string]T {
+	clone := make(map[string]T, len(old)+len(changed))
+	for k, value := range old {
+		clone[k] = value
+	}
+	for _, value := range changed {
+		clone[name(value)] = value
+	}
+	return clone
+}
+
+func (v *View) takeItems(changed []items.Item) {
+	all := make(map[items.Key]items.Item, len(v.items)+len(changed))
+	for k, item := range v.items {
+		all[k] = item
+	}
+	for _, item := range changed {
+		all[item.Key] = item
+	}
+	list := make([]items.Item, 0, len(all))
+	for _, item := range all {
+		list = append(list, item)
+	}
+	v.items, v.matcher, v.configured = all, items.NewMatcher(list), true
+}
+
+// takeTargets takes in changed targets. Targets of a data centre that is back
+// in service may have become cold while it was out, so they count as cold for
+// their service's cold period.
+func (v *View) takeTargets(d Delta, now time.Duration) {
+	all := make(map[string]*Endpoint, len(v.endpoints)+len(d.Targets))
+	for id, e := range v.endpoints {
+		all[id] = e
+	}
+	for _, t := range d.Targets {
+		if t.Condition >= Left {
+			delete(all, t.ID)
+			continue
+		}
+		all[t.ID] = &Endpoint{Target: t, ColdUntil: now + t.ColdFor}
+	}
+	for _, dc := range d.DataCentres {
+		if dc.Out {
+			continue
+		}
+		for id, e := range all {
+			if e.DataCentre == dc.Name {
+				service, _ := v.Service(e.Service)
+				all[id] = &Endpoint{Target: e.Target, ColdUntil: max(e.ColdUntil, now+service.ColdPeriod)}
+			}
+		}
+	}
+	v.endpoints = all
+	v.byService = make(map[string][]*Endpoint)
+	for _, e := range all {
+		v.byService[e.Service] = append(v.byService[e.Service], e)
+	}
+	for _, list := range v.byService {
+		slices.SortFunc(list, func(a, b *Endpoint) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+// Revision returns the revision of the state that the view shows.
+func (v *View) Revision() uint64 { return v.revision }
+
+// Configured reports whether the view has any configuration.
+func (v *View) Configured() bool { return v.configured }
+
+// Match returns the route of a request.
+func (v *View) Match(host, path string) (items.Item, bool) { return v.matcher.Match(host, path) }
+
+// Service returns a service that stands.
+func (v *View) Service(name string) (items.Service, bool) {
+	item, ok := v.items[items.Key{Collection: items.Services, Name: name}]
+	if !ok || item.Dropped {
+		return items.Service{}, false
+	}
+	return *item.Service, true
+}
+
+// Limits returns the limits, or nil before they are known.
+func (v *View) Limits() *items.Limits {
+	return v.items[items.Key{Collection: items.LimitSet}].Limits
+}
+
+// Endpoints returns the targets of a service that have not ended, by ID.
+func (v *View) Endpoints(service string) []*Endpoint { return v.byService[service] }
+
+// All returns every target that has not ended.
+func (v *View) All() map[string]*Endpoint { return v.endpoints }
+
+// Endpoint returns a target by its ID.
+func (v *View) Endpoint(id string) (*Endpoint, bool) {
+	e, ok := v.endpoints[id]
+	return e, ok
+}
+
+// DataCentreOut reports whether the operators took a data centre out.
+func (v *View) DataCentreOut(name string) bool { return v.dataCentres[name].Out }
+
+// Owner returns the target that holds a key, or false while nobody does.
+func (v *View) Owner(service string, key int) (*Endpoint, bool) {
+	rows := v.shards[service].Rows
+	i := sort.Search(len(rows), func(i int) bool { return rows[i].To >= key })
+	if i == len(rows) || key < 0 {
+		return nil, false
+	}
+	row := rows[i]
+	if row.Moving() || !row.Granted {
+		return nil, false
+	}
+	e, ok := v.endpoints[row.Holder.ID]
+	if !ok || e.Born != row.Holder.Born {
+		return nil, false
+	}
+	return e, true
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// latencyBuckets are the bounds in seconds of the latency histograms: from a
+// fast response to the longest deadline of the deployments.
+var latencyBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10}
+
+// metrics count requests by kind of route and outcome, and sends by outcome.
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+	probes   prometheus.Counter
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingoreel_gateway_requests_total", Help: "Requests by kind of their route and outcome.",
+		}, []string{"kind", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "flamingoreel_gateway_latency_seconds", Help: "Time to the final response by kind of the route.", Buckets: latencyBuckets,
+		}, []string{"kind"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingoreel_gateway_sends_total", Help: "Requests sent to targets by outcome.",
+		}, []string{"outcome"}),
+		probes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "flamingoreel_gateway_probes_total", Help: "Health checks of targets that failed before.",
+		}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.requests, m.latency, m.sends, m.probes)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,408 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/placement"
+	"github.com/flamingoreel/flamingoreel/internal/upstream"
+)
+
+// NoKey is the key of a request that names none.
+const NoKey = -1
+
+// Request is one attempt of a caller.
+type Request struct {
+	ID                      string
+	Method, URI, Path, Host string
+	// Header holds what is passed on to the target.
+	Header  http.Header
+	Body    []byte
+	HasBody bool
+	// Wait is how long the caller waits; 0 when it did not say.
+	Wait time.Duration
+	// Key is the key of a sharded service, or NoKey.
+	Key int
+}
+
+// Result is the final answer to a request: a target's response or an error.
+type Result struct {
+	Response *upstream.Response
+	Err      *errkind.Error
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+}
+
+// attempt is the state of a request while it is served.
+type attempt struct {
+	g       *Gateway
+	req     *Request
+	route   *items.Route
+	name    string
+	service string
+	arrived time.Duration
+	// end is when the caller or the route's timeout gives up.
+	end time.Duration
+	// sends counts the targets to which the request went.
+	sends int
+	// mayHaveRun says that a send ended without it being known whether the
+	// target ran the request.
+	mayHaveRun bool
+	tried      []fleet.Incarnation
+	last       *upstream.Response
+	target     string
+}
+
+// defaultWait applies to callers that name no deadline and routes without one.
+const defaultWait = 30 * time.Second
+
+// Serve answers a request. ctx ends when the caller is gone.
+func (g *Gateway) Serve(ctx context.Context, req *Request) Result {
+	view := g.view.Load()
+	now := g.now()
+	if !view.Configured() {
+		return g.refuse(now, errkind.New(errkind.NoLease, "no configuration is known yet"))
+	}
+	item, ok := view.Match(req.Host, req.Path)
+	if !ok {
+		if g.stale(now) {
+			return g.refuse(now, errkind.New(errkind.NoLease, "the route is not known and the configuration may be out of date"))
+		}
+		return Result{Err: errkind.New(errkind.UnknownRoute, "no route for %s%s", req.Host, req.Path)}
+	}
+	a := &attempt{g: g, req: req, route: item.Route, name: item.Name, arrived: now}
+	wait := req.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	a.end = now + min(wait, item.Route.Timeout)
+	a.service = g.pickService(item)
+	ctx, cancel := context.WithTimeout(ctx, a.end-now)
+	defer cancel()
+	result := a.run(ctx)
+	a.record(result, item.Version)
+	return result
+}
+
+// pickService chooses the service of a request by the route's weights and lets
+// the service earn a part of a repeat.
+func (g *Gateway) pickService(item items.Item) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.splits[item.Name]
+	if s == nil {
+		s = new(split)
+		g.splits[item.Name] = s
+	}
+	service := s.next(item.Route.Split)
+	b := g.budgets[service]
+	if b == nil {
+		b = &budget{tokens: budgetBound}
+		g.budgets[service] = b
+	}
+	b.earn(g.cfg.RetryRatio)
+	return service
+}
+
+// run sends the request until it has a final answer.
+func (a *attempt) run(ctx context.Context) Result {
+	for {
+		c, failure := a.choose(ctx)
+		if failure != nil {
+			return a.giveUp(failure)
+		}
+		resp, signals, failure := a.send(ctx, c)
+		if failure == nil && !signals.NotRun && (resp.Status < 500 || a.route.Kind == items.Unsafe) {
+			return Result{Response: resp}
+		}
+		switch {
+		case failure == nil && signals.NotRun:
+			failure = errkind.New(errkind.TargetRefused, "target %s refused with status %d", c.endpoint.ID, resp.Status)
+		case failure == nil:
+			a.mayHaveRun, a.last = true, resp
+			failure = errkind.New(errkind.TargetLost, "target %s failed with status %d", c.endpoint.ID, resp.Status)
+		case failure.Outcome() != errkind.NotRun:
+			a.mayHaveRun = true
+		}
+		if !a.mayRepeat(ctx, failure) {
+			return a.giveUp(failure)
+		}
+	}
+}
+
+// mayRepeat reports whether the request may go to another target: it did not
+// run or may run more than once, and attempts, time and budget are left.
+func (a *attempt) mayRepeat(ctx context.Context, failure *errkind.Error) bool {
+	if ctx.Err() != nil || a.sends >= a.route.MaxAttempts {
+		return false
+	}
+	if failure.Outcome() != errkind.NotRun && a.route.Kind != items.Safe {
+		return false
+	}
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	return a.g.budgets[a.service].spend()
+}
+
+// giveUp returns the final answer after a failure. A target's own failure is
+// passed on; a refusal is answered only if the request never ran.
+func (a *attempt) giveUp(failure *errkind.Error) Result {
+	if a.last != nil {
+		return Result{Response: a.last}
+	}
+	if a.mayHaveRun && failure.Outcome() == errkind.NotRun {
+		failure = errkind.Wrap(errkind.TargetLost, failure, "an earlier send may have run")
+	}
+	if failure.Outcome() != errkind.NotRun {
+		return Result{Err: failure}
+	}
+	return a.g.refuse(a.g.now(), failure)
+}
+
+// Times after which refused callers come back.
+const (
+	// retryMin is about the time in which a target finishes a request.
+	retryMin = 250 * time.Millisecond
+	// retrySpread spreads callers that are refused at once.
+	retrySpread = 350 * time.Millisecond
+)
+
+// refuse answers that the request did not run and when to come back.
+func (g *Gateway) refuse(_ time.Duration, failure *errkind.Error) Result {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Result{Err: failure, RetryAfter: retryMin + time.Duration(g.rng.Int64N(int64(retrySpread)))}
+}
+
+// choice is the target for one send.
+type choice struct {
+	endpoint *fleet.Endpoint
+	track    *tracked
+}
+
+// choose returns the target for the next send and counts it as started.
+func (a *attempt) choose(ctx context.Context) (choice, *errkind.Error) {
+	for {
+		a.g.mu.Lock()
+		changed := a.g.changed
+		c, failure := a.pick()
+		a.g.mu.Unlock()
+		if failure == nil || failure.Kind != errkind.NoOwner {
+			return c, failure
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return choice{}, failure
+		}
+	}
+}
+
+// pick chooses among the targets; the gateway's mutex is held.
+func (a *attempt) pick() (choice, *errkind.Error) {
+	g := a.g
+	view := g.view.Load()
+	now := g.now()
+	service, ok := view.Service(a.service)
+	if !ok {
+		return choice{}, errkind.New(errkind.UnknownService, "service %s is not known", a.service)
+	}
+	endpoints, failure := a.eligible(view, service)
+	if failure != nil {
+		return choice{}, failure
+	}
+	var candidates []placement.Candidate
+	var chosen []choice
+	for _, e := range endpoints {
+		t := g.track(e)
+		cold := max(e.ColdUntil, t.coldUntil) > now
+		if t.Blocked(now) || cold && !t.ColdReady(now) {
+			continue
+		}
+		candidates = append(candidates, placement.Candidate{Track: &t.Track, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold})
+		chosen = append(chosen, choice{e, t})
+	}
+	i, expected := placement.Choose(now, g.rng, candidates)
+	if i < 0 {
+		return choice{}, errkind.New(errkind.TargetUnreachable, "none of %d targets of %s can be used now", len(endpoints), a.service)
+	}
+	if now+expected > a.end {
+		return choice{}, errkind.New(errkind.Overloaded, "a response is expected in %v, %v are left", expected.Round(time.Millisecond), (a.end - now).Round(time.Millisecond))
+	}
+	if candidates[i].Cold {
+		chosen[i].track.TakeCold(now, g.coldInterval(service))
+	}
+	chosen[i].track.Started()
+	return chosen[i], nil
+}
+
+// eligible returns the targets that may run the request.
+func (a *attempt) eligible(view *fleet.View, service items.Service) ([]*fleet.Endpoint, *errkind.Error) {
+	all := view.Endpoints(a.service)
+	if service.Sharded && a.req.Key != NoKey {
+		owner, ok := view.Owner(a.service, a.req.Key)
+		if !ok {
+			return nil, errkind.New(errkind.NoOwner, "no target holds key %d", a.req.Key)
+		}
+		all = []*fleet.Endpoint{owner}
+	}
+	var fit []*fleet.Endpoint
+	for _, e := range all {
+		if a.allowed(view, e) {
+			fit = append(fit, e)
+		}
+	}
+	if len(fit) == 0 {
+		return nil, errkind.New(errkind.TargetUnreachable, "no target of %s may run the request", a.service)
+	}
+	return fit, nil
+}
+
+func (a *attempt) allowed(view *fleet.View, e *fleet.Endpoint) bool {
+	if e.Condition != fleet.Ready || view.DataCentreOut(e.DataCentre) || slices.Contains(a.tried, e.Incarnation) {
+		return false
+	}
+	return len(a.route.Homes) == 0 || slices.Contains(a.route.Homes, a.g.cfg.Regions[e.DataCentre])
+}
+
+// track returns the record of a target; the mutex is held.
+func (g *Gateway) track(e *fleet.Endpoint) *tracked {
+	t := g.tracks[e.Incarnation]
+	if t == nil {
+		t = new(tracked)
+		g.tracks[e.Incarnation] = t
+	}
+	return t
+}
+
+func (g *Gateway) distance(dataCentre string) placement.Distance {
+	switch {
+	case dataCentre == g.cfg.DataCentre:
+		return placement.SameDataCentre
+	case g.cfg.Regions[dataCentre] == g.cfg.Region:
+		return placement.SameRegion
+	}
+	return placement.OtherRegion
+}
+
+// Figures of the shares of cold targets.
+const (
+	// defaultEntries is assumed while the number of entries is not known.
+	defaultEntries = 16
+	// coldShare is the part of the permitted requests that is used.
+	coldShare = 0.85
+)
+
+// coldInterval is the time between two requests of this entry to a cold target.
+func (g *Gateway) coldInterval(service items.Service) time.Duration {
+	count := 0
+	if counts := g.entries.Load(); counts != nil {
+		for _, n := range *counts {
+			count += n
+		}
+	}
+	if count == 0 {
+		count = defaultEntries
+	}
+	return placement.ColdInterval(coldShare*(service.ColdRate*g.cfg.ColdFactor+g.cfg.ColdSlack), count)
+}
+
+// send sends the request to a target and takes in what its response says.
+func (a *attempt) send(ctx context.Context, c choice) (*upstream.Response, Signals, *errkind.Error) {
+	g := a.g
+	sent := g.now()
+	header := a.req.Header.Clone()
+	g.cfg.Dialect.Prepare(header, a.end-sent, c.endpoint.ID)
+	a.sends++
+	a.target = c.endpoint.ID
+	a.tried = append(a.tried, c.endpoint.Incarnation)
+	resp, failure := g.pool.Do(ctx, &upstream.Request{
+		Addr: c.endpoint.Address, Method: a.req.Method, URI: a.req.URI, Host: a.req.Host,
+		Header: header, Body: a.req.Body, HasBody: a.req.HasBody,
+		Accept: func(r *upstream.Response) bool { return a.genuine(g.cfg.Dialect.Read(r), r) },
+	})
+	var signals Signals
+	if failure == nil {
+		signals = g.cfg.Dialect.Read(resp)
+	}
+	g.learn(c, sent, resp, signals, failure)
+	return resp, signals, failure
+}
+
+// genuine reports whether a response answers this request and was made by the
+// target: a faulty target may send late or foreign bytes.
+func (a *attempt) genuine(s Signals, r *upstream.Response) bool {
+	if s.RequestID != a.req.ID {
+		return false
+	}
+	return r.Status >= 300 || s.Signed && r.Header.Get("Content-Encoding") == ""
+}
+
+// Times for which a target that failed is left alone.
+const (
+	// misdirectedPause is longer than the state takes to arrive.
+	misdirectedPause = 300 * time.Millisecond
+	// failuresBeforeCheck is how many requests in a row fail before the target is
+	// used again only after a health check.
+	failuresBeforeCheck = 3
+)
+
+// learn updates what is known of a target after a send.
+func (g *Gateway) learn(c choice, sent time.Duration, resp *upstream.Response, s Signals, failure *errkind.Error) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.track.Ended()
+	if s.Load != nil {
+		c.track.Report(now, *s.Load)
+	}
+	outcome := "answered"
+	switch {
+	case failure != nil:
+		outcome = string(failure.Kind)
+		unreachable := failure.Kind == errkind.TargetUnreachable
+		if failure.Kind != errkind.AnswerTimeout && (c.track.Failed() >= failuresBeforeCheck || unreachable) {
+			g.revive(c)
+		}
+	case s.Misdirected:
+		outcome = "misdirected"
+		c.track.Block(now + misdirectedPause)
+	case s.NotRun:
+		outcome = "refused"
+	case resp.Status < 500:
+		c.track.Served(now, now-sent, c.endpoint.Slots)
+	}
+	g.metrics.sends.WithLabelValues(outcome).Inc()
+}
+
+// record logs and counts a finished request. Answered requests are counted only.
+func (a *attempt) record(r Result, version uint64) {
+	took := a.g.now() - a.arrived
+	outcome := "answered"
+	if r.Err != nil {
+		outcome = string(r.Err.Kind)
+	} else if r.Response.Status >= 500 {
+		outcome = "target_failed"
+	}
+	a.g.metrics.requests.WithLabelValues(string(a.route.Kind), outcome).Inc()
+	a.g.metrics.latency.WithLabelValues(string(a.route.Kind)).Observe(took.Seconds())
+	if outcome == "answered" {
+		return
+	}
+	entry := a.g.cfg.Logger.WithFields(log.Fields{
+		"request": a.req.ID, "route": a.name, "version": version, "service": a.service, "kind": a.route.Kind,
+		"sends": a.sends, "target": a.target, "took": took.Round(time.Millisecond), "left": (a.end - a.g.now()).Round(time.Millisecond),
+		"state_age": (a.g.now() - time.Duration(a.g.contact.Load())).Round(time.Millisecond), "outcome": outcome, "key": a.req.Key,
+	})
+	if r.Err != nil {
+		entry = entry.WithFields(log.Fields{"reason": r.Err.Error(), "retry_after": r.RetryAfter.Round(time.Millisecond)})
+	}
+	entry.Info("request failed")
+}
--- /dev/null
+++ b/internal/gateway/share.go
@@ -0,0 +1,66 @@
+package gateway
+
+import "github.com/flamingoreel/flamingoreel/internal/items"
+
+// budget bounds the sends beyond the first of each request to one service. Each
+// request earns a part of a repeat; unused parts are kept up to a bound, which
+// together over the entries stays below the slack of the rule.
+type budget struct{ tokens float64 }
+
+const (
+	// budgetShare is the part of the permitted ratio that is used, so that a
+	// window with fewer requests than the one before stays within it.
+	budgetShare = 0.7
+	// budgetBound is the largest number of repeats that an entry saves up.
+	budgetBound = 4
+)
+
+func (b *budget) earn(ratio float64) { b.tokens = min(budgetBound, b.tokens+ratio*budgetShare) }
+
+func (b *budget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// split divides the requests of a route by the weights of its services. Each
+// request goes to the service that lags most behind its share, so that the
+// shares hold over short spans too.
+type split struct {
+	weights []items.Share
+	credit  []float64
+}
+
+// next returns the service of the next request.
+func (s *split) next(shares []items.Share) string {
+	if !equalShares(s.weights, shares) {
+		s.weights, s.credit = shares, make([]float64, len(shares))
+	}
+	total := 0
+	for _, share := range shares {
+		total += share.Weight
+	}
+	best := 0
+	for i, share := range shares {
+		s.credit[i] += float64(share.Weight) / float64(total)
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best]--
+	return shares[best].Service
+}
+
+func equalShares(a, b []items.Share) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/items/items.go
@@ -0,0 +1,109 @@
+// Package items is the configuration as named items, each with its own version:
+// routes, services and the limits. It is pure: it decides which item of a name
+// is in force and which changes are refused.
+//
+// Invariant: of all items accepted under one name, the one with the highest
+// version is in force, whether it sets or drops the item. Repeating or
+// reordering accepted changes does not alter the result.
+package items
+
+import (
+	"time"
+)
+
+// Collection is the group of items to which a name belongs.
+type Collection string
+
+// The collections.
+const (
+	Routes   Collection = "route"
+	Services Collection = "service"
+	// LimitSet holds the single item of the limits; its name is empty.
+	LimitSet Collection = "limits"
+)
+
+// Kind says whether a request of a route may be repeated.
+type Kind string
+
+// The kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests may run at most once.
+	Unsafe Kind = "unsafe"
+)
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string `msgpack:"s"`
+	Weight  int    `msgpack:"w"`
+}
+
+// Route says which requests go to which services and under which limits.
+type Route struct {
+	Host string `msgpack:"h"`
+	// Prefix begins and ends with a slash.
+	Prefix string `msgpack:"p"`
+	Kind   Kind   `msgpack:"k"`
+	// Timeout bounds the time until the final response.
+	Timeout time.Duration `msgpack:"t"`
+	// Aim is the time within which a response has its full worth.
+	Aim time.Duration `msgpack:"a"`
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int     `msgpack:"r"`
+	Split    []Share `msgpack:"s"`
+	// MaxAttempts bounds the targets to which one request is sent.
+	MaxAttempts int `msgpack:"m"`
+	// Homes are the only regions in which the requests may be served; empty
+	// means all.
+	Homes []string `msgpack:"o"`
+}
+
+// Service says how the targets of a service are used.
+type Service struct {
+	HealthPath string `msgpack:"h"`
+	// MaxConns bounds the connections to a target over all VMs.
+	MaxConns int `msgpack:"c"`
+	// ColdPeriod is how long a target that just started is cold, and ColdRate
+	// how many requests a second it bears meanwhile, over all VMs.
+	ColdPeriod time.Duration `msgpack:"d"`
+	ColdRate   float64       `msgpack:"r"`
+	// Sharded says that each key is served by the one target that holds it.
+	Sharded bool `msgpack:"s"`
+	// Warmup is how long a key is slow after a move without a handover.
+	Warmup time.Duration `msgpack:"w"`
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int           `msgpack:"h"`
+	MaxBodyBytes   int           `msgpack:"b"`
+	HeaderTimeout  time.Duration `msgpack:"t"`
+	IdleTimeout    time.Duration `msgpack:"i"`
+}
+
+// Key names an item.
+type Key struct {
+	Collection Collection `msgpack:"c"`
+	Name       string     `msgpack:"n"`
+}
+
+// Item is one version of an item. Exactly one of Route, Service and Limits is
+// set, or none when Dropped.
+type Item struct {
+	Key     `msgpack:"k"`
+	Version uint64   `msgpack:"v"`
+	Dropped bool     `msgpack:"d"`
+	Route   *Route   `msgpack:"r"`
+	Service *Service `msgpack:"s"`
+	Limits  *Limits  `msgpack:"l"`
+	// Source is the item as its writer sent it; a reader gets it back unchanged.
+	Source []byte `msgpack:"o"`
+	// Revision is the log index of the change that put the item in force.
+	Revision uint64 `msgpack:"i"`
+}
+
+// Patch is one change: all its items are accepted or none.
+type Patch struct {
+	Items []Item `msgpack:"i"`
+}
--- /dev/null
+++ b/internal/items/match.go
@@ -0,0 +1,41 @@
+package items
+
+import "strings"
+
+// Matcher finds the route of a request. It is immutable.
+type Matcher struct {
+	// routes maps host, then prefix, to the standing route.
+	routes map[string]map[string]Item
+}
+
+// NewMatcher returns a matcher for the routes that stand.
+func NewMatcher(all []Item) *Matcher {
+	m := &Matcher{routes: make(map[string]map[string]Item)}
+	for _, item := range all {
+		if item.Collection != Routes || item.Dropped {
+			continue
+		}
+		host := m.routes[item.Route.Host]
+		if host == nil {
+			host = make(map[string]Item)
+			m.routes[item.Route.Host] = host
+		}
+		host[item.Route.Prefix] = item
+	}
+	return m
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path. Prefixes end with a slash, so only those positions are looked up.
+func (m *Matcher) Match(host, path string) (Item, bool) {
+	prefixes := m.routes[host]
+	if prefixes == nil {
+		return Item{}, false
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if item, ok := prefixes[path[:end+1]]; ok {
+			return item, true
+		}
+	}
+	return Item{}, false
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -143,7 +143,7 @@
 // write sends what is due until the connection ends.
 func (c *conn) write() {
 	e := newEncoder()
-	ping := time.NewTicker(PingInterval)
+	ping := time.NewTicker(c.node.cfg.PingInterval)
 	defer ping.Stop()
 	for {
 		if c.collect(e) {
@@ -232,7 +232,7 @@
 	d := newDecoder()
 	var buf []byte
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(DeadAfter)); err != nil {
+		if err := c.nc.SetReadDeadline(time.Now().Add(c.node.cfg.DeadAfter)); err != nil {
 			return err
 		}
 		body, err := readFrame(r, buf)
--- a/internal/link/hello.go
+++ b/internal/link/hello.go
@@ -115,6 +115,10 @@
 		return nil, nil, err
 	}
 	p := n.lookup(from)
+	if p == nil && n.cfg.Learn && from != n.cfg.Name {
+		n.SetPeer(from, from)
+		p = n.lookup(from)
+	}
 	if p == nil || from == n.cfg.Name {
 		return nil, nil, fmt.Errorf("%w: %q", errStranger, from)
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -113,6 +113,12 @@
 	Priority []string
 	// Seed makes the jitter of reconnects repeatable; 0 draws one.
 	Seed uint64
+	// PingInterval and DeadAfter replace the constants of these names when they
+	// are set. Both sides of a link must use the same values.
+	PingInterval, DeadAfter time.Duration
+	// Learn accepts peers that were not set before. A peer's name is then the
+	// address that it listens on, so a VM is reached by its address alone.
+	Learn bool
 	// Logger receives one event per change of a link; nil discards them.
 	Logger log.Interface
 	// Listener and Dial replace TCP when set.
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -71,6 +71,12 @@
 	if cfg.MaxHandlers <= 0 {
 		cfg.MaxHandlers = DefaultMaxHandlers
 	}
+	if cfg.PingInterval <= 0 {
+		cfg.PingInterval = PingInterval
+	}
+	if cfg.DeadAfter <= 0 {
+		cfg.DeadAfter = DeadAfter
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,102 @@
+// Package logs writes log lines without blocking the caller: lines go through a
+// bounded queue and under a stated rate, and what is left out is counted.
+package logs
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+)
+
+const (
+	// queueLines bounds the lines that wait for a slow reader.
+	queueLines = 2048
+	// linesPerSecond and burstLines bound the volume: an overloaded entry refuses
+	// about a hundred requests a second.
+	linesPerSecond = 200
+	burstLines     = 2000
+	// flushInterval is the longest time that a line waits to be written together
+	// with others.
+	flushInterval = 20 * time.Millisecond
+)
+
+// Handler is an apex/log handler that writes key=value lines.
+type Handler struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Uint64
+
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+	buffer bytes.Buffer
+	format *logfmt.Handler
+}
+
+// New returns a handler that writes to w until Close.
+func New(w io.Writer) *Handler {
+	h := &Handler{lines: make(chan []byte, queueLines), done: make(chan struct{}), tokens: burstLines, last: time.Now()}
+	h.format = logfmt.New(&h.buffer)
+	go h.write(w)
+	return h
+}
+
+// HandleLog implements log.Handler. It never waits for the writer.
+func (h *Handler) HandleLog(e *log.Entry) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.tokens = min(burstLines, h.tokens+linesPerSecond*now.Sub(h.last).Seconds())
+	h.last = now
+	if h.tokens < 1 {
+		h.dropped.Add(1)
+		return nil
+	}
+	h.tokens--
+	h.buffer.Reset()
+	if err := h.format.HandleLog(e); err != nil {
+		return err
+	}
+	select {
+	case h.lines <- bytes.Clone(h.buffer.Bytes()):
+	default:
+		h.dropped.Add(1)
+	}
+	return nil
+}
+
+// Dropped returns how many lines were left out.
+func (h *Handler) Dropped() uint64 { return h.dropped.Load() }
+
+// write writes lines in batches.
+func (h *Handler) write(w io.Writer) {
+	defer close(h.done)
+	var batch bytes.Buffer
+	for line := range h.lines {
+		batch.Write(line)
+		time.Sleep(flushInterval)
+		for more := true; more; {
+			select {
+			case next, ok := <-h.lines:
+				batch.Write(next)
+				more = ok
+			default:
+				more = false
+			}
+		}
+		// A reader that went away must not stop the process.
+		_, _ = w.Write(batch.Bytes())
+		batch.Reset()
+	}
+}
+
+// Close writes what is queued and ends the handler.
+func (h *Handler) Close() {
+	close(h.lines)
+	<-h.done
+}
--- /dev/null
+++ b/internal/registry/plan.go
@@ -0,0 +1,230 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+)
+
+// proposalTimeout is how long a shard change may take before another is
+// proposed: two round trips between regions and two syncs of a slow disk.
+const proposalTimeout = 500 * time.Millisecond
+
+// Plan returns the shard changes that are due.
+func (r *Registry) Plan(now time.Duration, s *fleet.State) []fleet.Command {
+	var commands []fleet.Command
+	for _, item := range s.Items().All() {
+		if item.Collection != items.Services || item.Dropped || !item.Service.Sharded {
+			continue
+		}
+		if change := r.planService(now, s, item.Name); change != nil {
+			commands = append(commands, fleet.Command{Shard: change})
+		}
+	}
+	return commands
+}
+
+func (r *Registry) planService(now time.Duration, s *fleet.State, service string) *fleet.ShardChange {
+	shard, ok := s.Shard(service)
+	if p, waiting := r.proposed[service]; waiting && p.base == shard.Revision && now-p.at < proposalTimeout {
+		return nil
+	}
+	usable := r.usable(now, s, service)
+	if len(usable) == 0 {
+		return nil
+	}
+	next := fleet.Shard{Service: service, LastFence: shard.LastFence, Rows: slices.Clone(shard.Rows)}
+	if !ok {
+		if first, heard := r.seen[service]; !heard || now-first < settleTime {
+			return nil
+		}
+		divide(&next, usable)
+	} else if !r.revise(now, s, &next, usable) {
+		return nil
+	}
+	r.proposed[service] = proposal{at: now, base: shard.Revision}
+	return &fleet.ShardChange{Base: shard.Revision, Shard: next}
+}
+
+// usable returns the targets that may be given keys, by ID.
+func (r *Registry) usable(now time.Duration, s *fleet.State, service string) []fleet.Incarnation {
+	var list []fleet.Incarnation
+	for _, t := range s.Targets() {
+		if t.Service != service || t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) {
+			continue
+		}
+		c := r.contacts[t.Incarnation]
+		if c != nil && c.seq > 0 && now-c.heard < silentAfter {
+			list = append(list, t.Incarnation)
+		}
+	}
+	return list
+}
+
+// divide gives each target an equal range of keys.
+func divide(shard *fleet.Shard, targets []fleet.Incarnation) {
+	shard.Rows = nil
+	count := len(targets)
+	for i, in := range targets {
+		shard.LastFence++
+		shard.Rows = append(shard.Rows, fleet.Row{
+			From: i * (fleet.MaxKey + 1) / count, To: (i+1)*(fleet.MaxKey+1)/count - 1,
+			Fence: shard.LastFence, Holder: in,
+		})
+	}
+}
+
+// revise moves rows away from holders that ended, fell silent or are leaving,
+// and gives rows to targets that have none. It reports whether it changed any.
+func (r *Registry) revise(now time.Duration, s *fleet.State, shard *fleet.Shard, usable []fleet.Incarnation) bool {
+	load := keyCounts(shard, usable)
+	changed := false
+	for i := range shard.Rows {
+		row := &shard.Rows[i]
+		switch {
+		case r.free(now, s, shard.Service, *row):
+			r.reassign(shard, row, load)
+			changed = true
+		case row.Moving():
+			if _, ok := load[row.Next]; !ok {
+				row.Next = leastLoaded(load)
+				load[row.Next] += row.To - row.From + 1
+				changed = true
+			}
+		default:
+			if t, _ := s.Target(row.Holder.ID); t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) {
+				row.Next = leastLoaded(load)
+				load[row.Next] += row.To - row.From + 1
+				changed = true
+			}
+		}
+	}
+	return r.share(shard, load) || changed
+}
+
+// free reports whether nobody can hold a row any more, or its holder released it.
+func (r *Registry) free(now time.Duration, s *fleet.State, service string, row fleet.Row) bool {
+	if row.Holder.ID == "" {
+		return true
+	}
+	t, ok := s.Target(row.Holder.ID)
+	if ok && (t.Born > row.Holder.Born || t.Born == row.Holder.Born && t.Condition == fleet.Ended) {
+		return true
+	}
+	if row.Moving() {
+		return r.givenUp(now, service, row)
+	}
+	c := r.contact(row.Holder)
+	return now > c.until && now-c.heard >= silentAfter
+}
+
+// givenUp reports whether a leaving row was released or its last grant expired.
+func (r *Registry) givenUp(now time.Duration, service string, row fleet.Row) bool {
+	id := idOf(service, row)
+	if _, released := r.released[id]; released {
+		return true
+	}
+	since, ok := r.moving[id]
+	if !ok {
+		since = now
+		r.moving[id] = now
+	}
+	return now > expiry(since)
+}
+
+// reassign gives a free row to its next holder.
+func (r *Registry) reassign(shard *fleet.Shard, row *fleet.Row, load map[fleet.Incarnation]int) {
+	next := row.Next
+	if _, ok := load[next]; !ok {
+		next = leastLoaded(load)
+		load[next] += row.To - row.From + 1
+	}
+	handover := r.released[idOf(shard.Service, *row)]
+	shard.LastFence++
+	*row = fleet.Row{From: row.From, To: row.To, Fence: shard.LastFence, Holder: next, Handover: handover}
+}
+
+// share gives half of the largest row of the most loaded target to each target
+// that has no keys.
+func (r *Registry) share(shard *fleet.Shard, load map[fleet.Incarnation]int) bool {
+	changed := false
+	for _, in := range sorted(load) {
+		if load[in] > 0 {
+			continue
+		}
+		i := largestRow(shard, load)
+		if i < 0 {
+			return changed
+		}
+		row := shard.Rows[i]
+		middle := (row.From + row.To + 1) / 2
+		moved := row
+		moved.From, moved.Next = middle, in
+		shard.Rows[i].To = middle - 1
+		shard.Rows = slices.Insert(shard.Rows, i+1, moved)
+		load[in] += moved.To - moved.From + 1
+		load[row.Holder] -= moved.To - moved.From + 1
+		changed = true
+	}
+	return changed
+}
+
+// largestRow returns the index of the largest settled row of the most loaded
+// target, or -1.
+func largestRow(shard *fleet.Shard, load map[fleet.Incarnation]int) int {
+	best := -1
+	size := func(i int) int { return shard.Rows[i].To - shard.Rows[i].From + 1 }
+	for i, row := range shard.Rows {
+		if row.Moving() || !row.Granted || size(i) < 2 {
+			continue
+		}
+		if best < 0 || load[row.Holder] > load[shard.Rows[best].Holder] ||
+			load[row.Holder] == load[shard.Rows[best].Holder] && size(i) > size(best) {
+			best = i
+		}
+	}
+	return best
+}
+
+// keyCounts returns how many keys each usable target holds or is to hold.
+func keyCounts(shard *fleet.Shard, usable []fleet.Incarnation) map[fleet.Incarnation]int {
+	load := make(map[fleet.Incarnation]int, len(usable))
+	for _, in := range usable {
+		load[in] = 0
+	}
+	for _, row := range shard.Rows {
+		holder := row.Holder
+		if row.Moving() {
+			holder = row.Next
+		}
+		if _, ok := load[holder]; ok {
+			load[holder] += row.To - row.From + 1
+		}
+	}
+	return load
+}
+
+func leastLoaded(load map[fleet.Incarnation]int) fleet.Incarnation {
+	var best fleet.Incarnation
+	for _, in := range sorted(load) {
+		if best.ID == "" || load[in] < load[best] {
+			best = in
+		}
+	}
+	return best
+}
+
+// sorted returns the targets by ID, so that plans are repeatable.
+func sorted(load map[fleet.Incarnation]int) []fleet.Incarnation {
+	list := make([]fleet.Incarnation, 0, len(load))
+	for in := range load {
+		list = append(list, in)
+	}
+	slices.SortFunc(list, func(a, b fleet.Incarnation) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,223 @@
+// Package registry is what the control leader knows of targets from their
+// heartbeats, and the decision which target holds which keys. It is pure.
+//
+// Invariant: a row is given to another incarnation only after its holder
+// reported it as released, after every grant that its holder can have received
+// has expired, or after the holder's process is known to have ended.
+package registry
+
+import (
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+)
+
+// Time limits.
+const (
+	// MaxHold is the longest grant. Three heartbeats of 870 ms fit into it, so
+	// that a grant outlives a restart and an election of the control VMs.
+	MaxHold = 4 * time.Second
+	// clockRate is how much longer than its nominal length a grant may last: the
+	// clocks of targets run up to 2% slow.
+	clockRate = 1.02
+	// holdMargin covers the rounding of times to milliseconds.
+	holdMargin = 50 * time.Millisecond
+	// silentAfter is the silence after which a target gets no further keys: two
+	// heartbeats of 870 ms and their delay.
+	silentAfter = 2500 * time.Millisecond
+	// settleTime is how long the first targets of a service are collected before
+	// its keys are divided: all targets announce themselves within one heartbeat.
+	settleTime = 1200 * time.Millisecond
+)
+
+// Held is a row of keys that a target reports.
+type Held struct {
+	From  int    `msgpack:"f"`
+	To    int    `msgpack:"t"`
+	Fence uint64 `msgpack:"e"`
+}
+
+// Released is a row that a target gave up, with the handover for its successor.
+type Released struct {
+	From     int    `msgpack:"f"`
+	To       int    `msgpack:"t"`
+	Handover string `msgpack:"h"`
+}
+
+// Beat is what a target says of itself.
+type Beat struct {
+	Target fleet.Target `msgpack:"t"`
+	// Seq grows with each heartbeat of an incarnation.
+	Seq      int64      `msgpack:"s"`
+	Holds    []Held     `msgpack:"h"`
+	Released []Released `msgpack:"r"`
+}
+
+// Grant is the answer to a heartbeat: everything that the target is to hold.
+type Grant struct {
+	// Renew says whether the grant says anything about keys.
+	Renew bool        `msgpack:"n"`
+	Rows  []fleet.Row `msgpack:"r"`
+	// Hold counts from when the heartbeat was sent.
+	Hold time.Duration `msgpack:"h"`
+}
+
+// contact is what the leader knows of one incarnation beyond the log.
+type contact struct {
+	heard time.Duration
+	seq   int64
+	// until is when every grant that the incarnation can have has expired.
+	until time.Duration
+	// coldUntil is when the target stops being cold, as last told to the log.
+	coldUntil time.Duration
+}
+
+// rowID names one grant of a row: a fence is never used twice in a service.
+type rowID struct {
+	service string
+	from    int
+	fence   uint64
+}
+
+func idOf(service string, row fleet.Row) rowID { return rowID{service, row.From, row.Fence} }
+
+// Registry holds the contacts of one term of leadership.
+type Registry struct {
+	elected  time.Duration
+	contacts map[fleet.Incarnation]*contact
+	// proposed is when a shard change was proposed for a service, and on which
+	// revision.
+	proposed map[string]proposal
+	seen     map[string]time.Duration
+	// moving is when a row was first seen to be leaving its holder. No later
+	// grant contains it.
+	moving map[rowID]time.Duration
+	// released holds the handovers of rows that their holders gave up.
+	released map[rowID]string
+}
+
+type proposal struct {
+	at   time.Duration
+	base uint64
+}
+
+// New returns the registry of a leader that was elected at now. Grants of
+// earlier leaders may still last.
+func New(now time.Duration) *Registry {
+	return &Registry{
+		elected:  now,
+		contacts: make(map[fleet.Incarnation]*contact),
+		proposed: make(map[string]proposal),
+		seen:     make(map[string]time.Duration),
+		moving:   make(map[rowID]time.Duration),
+		released: make(map[rowID]string),
+	}
+}
+
+// expiry is when a grant given at now has expired at every target.
+func expiry(now time.Duration) time.Duration {
+	return now + time.Duration(float64(MaxHold)*clockRate) + holdMargin
+}
+
+// contact returns the record of an incarnation. One that was not heard in this
+// term may hold a grant of the leader before.
+func (r *Registry) contact(in fleet.Incarnation) *contact {
+	c := r.contacts[in]
+	if c == nil {
+		c = &contact{heard: r.elected, until: expiry(r.elected)}
+		r.contacts[in] = c
+	}
+	return c
+}
+
+// Beat takes in a heartbeat. It returns the keys to grant and the commands that
+// the heartbeat asks for.
+func (r *Registry) Beat(now time.Duration, s *fleet.State, b Beat) (Grant, []fleet.Command) {
+	known, ok := s.Target(b.Target.ID)
+	if ok && known.Born > b.Target.Born {
+		return Grant{}, nil
+	}
+	c := r.contact(b.Target.Incarnation)
+	if b.Seq <= c.seq && c.seq > 0 {
+		return Grant{}, nil
+	}
+	c.seq = b.Seq
+	c.heard = now
+	if _, ok := r.seen[b.Target.Service]; !ok {
+		r.seen[b.Target.Service] = now
+	}
+	var commands []fleet.Command
+	if cmd, due := r.announce(now, c, known, ok, b.Target); due {
+		commands = append(commands, cmd)
+	}
+	shard, sharded := s.Shard(b.Target.Service)
+	if !sharded || !ok || known.Born != b.Target.Born {
+		return Grant{}, commands
+	}
+	r.noteReleased(shard, b)
+	grant, granted := r.grant(now, c, shard, b.Target.Incarnation)
+	if granted {
+		commands = append(commands, fleet.Command{Shard: confirm(shard, b.Target.Incarnation)})
+	}
+	return grant, commands
+}
+
+// noteReleased remembers which leaving rows a heartbeat reports as given up. A
+// report about other rows repeats an earlier release whose acknowledgement was
+// lost, and must not count for a later grant of the same keys.
+func (r *Registry) noteReleased(shard fleet.Shard, b Beat) {
+	for _, row := range shard.Rows {
+		if row.Holder != b.Target.Incarnation || !row.Moving() {
+			continue
+		}
+		for _, rel := range b.Released {
+			if rel.From <= row.From && rel.To >= row.To {
+				r.released[idOf(shard.Service, row)] = rel.Handover
+			}
+		}
+	}
+}
+
+// announce returns the command that records a changed target.
+func (r *Registry) announce(now time.Duration, c *contact, known fleet.Target, ok bool, t fleet.Target) (fleet.Command, bool) {
+	same := ok && known.Incarnation == t.Incarnation
+	turnedCold := t.ColdFor > 0 && now >= c.coldUntil
+	if same {
+		t.Condition = max(t.Condition, known.Condition)
+	}
+	unchanged := same && known.Condition == t.Condition && known.Address == t.Address && known.Slots == t.Slots
+	if unchanged && !turnedCold {
+		return fleet.Command{}, false
+	}
+	c.coldUntil = now + t.ColdFor
+	return fleet.Command{Targets: []fleet.Target{t}}, true
+}
+
+// grant returns what an incarnation is to hold. first reports whether a row is
+// granted for the first time.
+func (r *Registry) grant(now time.Duration, c *contact, shard fleet.Shard, in fleet.Incarnation) (g Grant, first bool) {
+	g = Grant{Renew: true, Hold: MaxHold}
+	for _, row := range shard.Rows {
+		if row.Holder != in || row.Moving() {
+			continue
+		}
+		g.Rows = append(g.Rows, row)
+		first = first || !row.Granted
+	}
+	if len(g.Rows) > 0 {
+		c.until = max(c.until, expiry(now))
+	}
+	return g, first
+}
+
+// confirm records that the holder received its rows, so that entries send to it.
+func confirm(shard fleet.Shard, in fleet.Incarnation) *fleet.ShardChange {
+	next := shard
+	next.Rows = append([]fleet.Row(nil), shard.Rows...)
+	for i, row := range next.Rows {
+		if row.Holder == in && !row.Moving() {
+			next.Rows[i].Granted = true
+		}
+	}
+	return &fleet.ShardChange{Base: shard.Revision, Shard: next}
+}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,73 @@
+// Package watch carries the state of the fleet from control VMs to entries: an
+// entry asks one control VM for what changed since its revision and gets the
+// answer when there is something, or after a while.
+package watch
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/link"
+)
+
+// Methods of the links that all VMs must agree on.
+const (
+	// Method is what a watch calls.
+	Method = "watch"
+	// MethodReplica carries the messages of the control log. It goes before all
+	// others, so that a large answer does not delay an election.
+	MethodReplica = "replica"
+)
+
+// MaxWait is how long a control VM holds an answer without news. It bounds how
+// long an entry follows a control VM that lost the leader.
+const MaxWait = 700 * time.Millisecond
+
+// Cluster is the name that all links of a deployment carry.
+const Cluster = "flamingoreel"
+
+// Times of the links. They are longer than the defaults of link, because pings
+// between regions are priced and lossy links delay frames by retransmissions.
+const (
+	pingInterval = 400 * time.Millisecond
+	deadAfter    = 1500 * time.Millisecond
+)
+
+// Request asks for what changed after a revision.
+type Request struct {
+	// Entry is the link address of the entry, Region where it runs.
+	Entry    string        `msgpack:"e"`
+	Region   string        `msgpack:"g"`
+	Revision uint64        `msgpack:"r"`
+	Wait     time.Duration `msgpack:"w"`
+}
+
+// Answer is what changed.
+type Answer struct {
+	Delta fleet.Delta `msgpack:"d"`
+	// Age is the time since the control VM heard from the leader.
+	Age time.Duration `msgpack:"a"`
+	// Known are the control VMs.
+	Known []Peer `msgpack:"k"`
+	// Entries is how many entries the deployment has in each region; nil while
+	// that is not known.
+	Entries map[string]int `msgpack:"n"`
+}
+
+// Peer is a control VM with its place, if known.
+type Peer struct {
+	Addr       string `msgpack:"a"`
+	DataCentre string `msgpack:"d"`
+	Region     string `msgpack:"r"`
+}
+
+// LinkConfig returns the settings of the links of a VM that is named by its
+// address.
+func LinkConfig(addr string, seed uint64, logger log.Interface) link.Config {
+	return link.Config{
+		Cluster: Cluster, Name: addr, Addr: addr, Seed: seed, Logger: logger, Learn: true,
+		Priority: []string{MethodReplica}, PingInterval: pingInterval, DeadAfter: deadAfter,
+	}
+}
