Balance keys by demand and accept leave calls without a sequence number

Cause of DRAIN: the call of a target that leaves carries no sequence number, so the registry took it for a late heartbeat, acknowledged it and did nothing. Cause of late statements: an even division of the keys gives half of the requests to one target. Entries now report keys and work with their watches, and the leader cuts the busiest rows.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,6 +50,7 @@
 	methodBeat   = "beat"
 	methodChange = "change"
 	methodRead   = "read"
+	methodSample = "sample"
 )
 
 // Controller is a running control VM.
@@ -68,6 +69,8 @@
 	watchers map[string]watcher
 	// entries is how many entries the deployment has in each region.
 	entries map[string]int
+	// samples wait to be sent to the leader.
+	samples []registry.Samples
 
 	cancel     context.CancelFunc
 	background sync.WaitGroup
@@ -97,7 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	links.Serve()
-	for _, run := range []func(context.Context){c.loop.run, c.introduce} {
+	for _, run := range []func(context.Context){c.loop.run, c.introduce, c.passSamples} {
 		c.background.Add(1)
 		go func() {
 			defer c.background.Done()
@@ -130,6 +133,7 @@
 	c.links.Handle(methodRead, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
 		return c.leadRead(ctx)
 	})
+	c.links.Handle(methodSample, c.samplesReceived)
 	c.links.Handle(watch.Method, c.watchReceived)
 }
 
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -201,6 +201,55 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.watchers[req.Entry] = watcher{region: req.Region, at: c.now()}
+	if len(c.samples) < maxWaitingSamples {
+		c.samples = append(c.samples, req.Samples...)
+	}
+}
+
+// Limits of samples on their way to the leader.
+const (
+	// sampleInterval is the time between two deliveries.
+	sampleInterval = 300 * time.Millisecond
+	// maxWaitingSamples bounds what waits while there is no leader.
+	maxWaitingSamples = 256
+)
+
+// passSamples delivers what entries saw to the leader.
+func (c *Controller) passSamples(ctx context.Context) {
+	for pause(ctx, sampleInterval) {
+		c.mu.Lock()
+		samples := c.samples
+		c.samples = nil
+		c.mu.Unlock()
+		leader := c.Leader()
+		if len(samples) == 0 || leader == "" {
+			continue
+		}
+		payload, err := wire.Marshal(samples)
+		if err != nil {
+			c.cfg.Logger.WithError(err).Error("samples cannot be encoded")
+			continue
+		}
+		c.links.SetPeer(leader, leader)
+		c.links.Send(leader, methodSample, payload)
+	}
+}
+
+// samplesReceived takes in samples as the leader.
+func (c *Controller) samplesReceived(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var samples []registry.Samples
+	if err := wire.Unmarshal(payload, &samples); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "samples cannot be read")
+	}
+	c.loop.post(ctx, func() {
+		if c.loop.registry == nil {
+			return
+		}
+		for _, s := range samples {
+			c.loop.registry.Sampled(c.now(), s)
+		}
+	})
+	return nil, nil
 }
 
 // looked is one look at the state.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -88,6 +88,7 @@
 	var answer watch.Answer
 	payload, err := wire.Marshal(&watch.Request{
 		Entry: g.cfg.Addr, Region: g.cfg.Region, Revision: g.view.Load().Revision(), Wait: watch.MaxWait,
+		Samples: g.takeSamples(),
 	})
 	if err != nil {
 		return answer, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/link"
 	"github.com/flamingoreel/flamingoreel/internal/placement"
+	"github.com/flamingoreel/flamingoreel/internal/registry"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 	"github.com/flamingoreel/flamingoreel/internal/watch"
 )
@@ -91,6 +92,8 @@
 	tracks  map[fleet.Incarnation]*tracked
 	budgets map[string]*budget
 	splits  map[string]*split
+	// samples are what was seen of sharded services since the last watch.
+	samples map[string]*registry.Samples
 	rng     *rand.Rand
 
 	cancel     context.CancelFunc
@@ -118,6 +121,7 @@
 		metrics: newMetrics(cfg.Registry), changed: make(chan struct{}),
 		tracks:  make(map[fleet.Incarnation]*tracked),
 		budgets: make(map[string]*budget), splits: make(map[string]*split),
+		samples: make(map[string]*registry.Samples),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	g.view.Store(fleet.NewView())
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -47,6 +47,8 @@
 	route   *items.Route
 	name    string
 	service string
+	// sharded says that only the holder of the key may run the request.
+	sharded bool
 	arrived time.Duration
 	// end is when the caller or the route's timeout gives up.
 	end time.Duration
@@ -84,6 +86,12 @@
 	}
 	a.end = now + min(wait, item.Route.Timeout)
 	a.service = g.pickService(item)
+	if service, ok := view.Service(a.service); ok && service.Sharded && req.Key != NoKey {
+		a.sharded = true
+		g.mu.Lock()
+		g.sampleKey(a.service, req.Key)
+		g.mu.Unlock()
+	}
 	ctx, cancel := context.WithTimeout(ctx, a.end-now)
 	defer cancel()
 	result := a.run(ctx)
@@ -332,7 +340,7 @@
 	if failure == nil {
 		signals = g.cfg.Dialect.Read(resp)
 	}
-	g.learn(c, sent, resp, signals, failure)
+	g.learn(c, a.sharded, sent, resp, signals, failure)
 	return resp, signals, failure
 }
 
@@ -355,7 +363,7 @@
 )
 
 // learn updates what is known of a target after a send.
-func (g *Gateway) learn(c choice, sent time.Duration, resp *upstream.Response, s Signals, failure *errkind.Error) {
+func (g *Gateway) learn(c choice, sharded bool, sent time.Duration, resp *upstream.Response, s Signals, failure *errkind.Error) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -378,6 +386,9 @@
 		outcome = "refused"
 	case resp.Status < 500:
 		c.track.Served(now, now-sent, c.endpoint.Slots)
+		if sharded {
+			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, c.track)
+		}
 	}
 	g.metrics.sends.WithLabelValues(outcome).Inc()
 }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -1,6 +1,54 @@
 package gateway
 
-import "github.com/flamingoreel/flamingoreel/internal/items"
+import (
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/registry"
+)
+
+// maxSampledKeys bounds the keys of one service in one watch.
+const maxSampledKeys = 64
+
+// sampleKey notes a request for a key; the mutex is held.
+func (g *Gateway) sampleKey(service string, key int) {
+	s := g.samplesOf(service)
+	if len(s.Keys) < maxSampledKeys {
+		s.Keys = append(s.Keys, key)
+	}
+}
+
+func (g *Gateway) samplesOf(service string) *registry.Samples {
+	s := g.samples[service]
+	if s == nil {
+		s = &registry.Samples{Service: service}
+		g.samples[service] = s
+	}
+	return s
+}
+
+// sampleWork notes how long the work of a target takes; the mutex is held.
+func (g *Gateway) sampleWork(service string, in fleet.Incarnation, t *tracked) {
+	s := g.samplesOf(service)
+	for i := range s.Works {
+		if s.Works[i].Target == in {
+			s.Works[i].Mean = t.Work()
+			return
+		}
+	}
+	s.Works = append(s.Works, registry.Work{Target: in, Mean: t.Work()})
+}
+
+// takeSamples returns what was seen since the last call.
+func (g *Gateway) takeSamples() []registry.Samples {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []registry.Samples
+	for _, s := range g.samples {
+		all = append(all, *s)
+	}
+	clear(g.samples)
+	return all
+}
 
 // budget bounds the sends beyond the first of each request to one service. Each
 // request earns a part of a repeat; unused parts are kept up to a bound, which
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -94,6 +94,9 @@
 	t.work = min(t.work, maxWork)
 }
 
+// Work is the mean time of a request that does not wait; 0 while not known.
+func (t *Track) Work() time.Duration { return t.work }
+
 // Blocked reports whether the target may not be chosen at now.
 func (t *Track) Blocked(now time.Duration) bool { return now < t.blockedUntil }
 
--- a/internal/registry/plan.go
+++ b/internal/registry/plan.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		c := r.contacts[t.Incarnation]
-		if c != nil && c.seq > 0 && now-c.heard < silentAfter {
+		if c != nil && c.seq != noSeq && now-c.heard < silentAfter {
 			list = append(list, t.Incarnation)
 		}
 	}
@@ -102,7 +102,8 @@
 			}
 		}
 	}
-	return r.share(shard, load) || changed
+	changed = r.share(shard, load) || changed
+	return r.balance(now, s, shard, usable) || changed
 }
 
 // free reports whether nobody can hold a row any more, or its holder released it.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -62,6 +62,9 @@
 	Hold time.Duration `msgpack:"h"`
 }
 
+// noSeq is below every sequence number.
+const noSeq = -1
+
 // contact is what the leader knows of one incarnation beyond the log.
 type contact struct {
 	heard time.Duration
@@ -92,6 +95,8 @@
 	// moving is when a row was first seen to be leaving its holder. No later
 	// grant contains it.
 	moving map[rowID]time.Duration
+	// demand is what entries saw of keys and targets, by service.
+	demand map[string]*demand
 	// released holds the handovers of rows that their holders gave up.
 	released map[rowID]string
 }
@@ -111,6 +116,7 @@
 		seen:     make(map[string]time.Duration),
 		moving:   make(map[rowID]time.Duration),
 		released: make(map[rowID]string),
+		demand:   make(map[string]*demand),
 	}
 }
 
@@ -124,7 +130,7 @@
 func (r *Registry) contact(in fleet.Incarnation) *contact {
 	c := r.contacts[in]
 	if c == nil {
-		c = &contact{heard: r.elected, until: expiry(r.elected)}
+		c = &contact{heard: r.elected, seq: noSeq, until: expiry(r.elected)}
 		r.contacts[in] = c
 	}
 	return c
@@ -138,10 +144,14 @@
 		return Grant{}, nil
 	}
 	c := r.contact(b.Target.Incarnation)
-	if b.Seq <= c.seq && c.seq > 0 {
+	// The call of a target that leaves carries no sequence number.
+	leaving := b.Target.Condition >= fleet.Left
+	if !leaving && b.Seq <= c.seq {
 		return Grant{}, nil
 	}
-	c.seq = b.Seq
+	if !leaving {
+		c.seq = b.Seq
+	}
 	c.heard = now
 	if _, ok := r.seen[b.Target.Service]; !ok {
 		r.seen[b.Target.Service] = now
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/link"
+	"github.com/flamingoreel/flamingoreel/internal/registry"
 )
 
 // Methods of the links that all VMs must agree on.
@@ -42,6 +43,8 @@
 	Region   string        `msgpack:"g"`
 	Revision uint64        `msgpack:"r"`
 	Wait     time.Duration `msgpack:"w"`
+	// Samples are what the entry saw since its last watch.
+	Samples []registry.Samples `msgpack:"s,omitempty"`
 }
 
 // Answer is what changed.
