Estimate latency from route work and reported slowdowns, hedge safe requests

Cause: entries chose targets by their own mean latency, which mixed load, neighbours and the target's own speed, so slow targets got posts and reads late. The reported slowdown holds both speed and neighbours (0.6, 1.0, 1.4, times 3 for a while), so work is now learned per route.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -211,7 +211,10 @@
 	}
 	if now-l.lastPlan >= planInterval {
 		l.lastPlan = now
-		l.proposeAll(now, l.registry.Plan(now, l.state))
+		for _, cmd := range l.registry.Plan(now, l.state) {
+			l.logShard(cmd.Shard)
+			l.propose(now, cmd, nil)
+		}
 	}
 	if now-l.lastMember >= memberInterval {
 		l.lastMember = now
@@ -259,9 +262,22 @@
 	}
 }
 
-func (l *loop) proposeAll(now time.Duration, commands []fleet.Command) {
-	for _, cmd := range commands {
-		l.propose(now, cmd, nil)
+// logShard records which rows a plan moves or gives to a new holder.
+func (l *loop) logShard(change *fleet.ShardChange) {
+	held, _ := l.state.Shard(change.Shard.Service)
+	known := make(map[fleet.Row]bool, len(held.Rows))
+	for _, row := range held.Rows {
+		known[row] = true
+	}
+	for _, row := range change.Shard.Rows {
+		if known[row] || row.Granted && !row.Moving() {
+			continue
+		}
+		l.logger.WithFields(log.Fields{
+			"service": change.Shard.Service, "from": row.From, "to": row.To, "fence": row.Fence,
+			"holder": row.Holder.ID, "next": row.Next.ID, "handover": row.Handover != "",
+			"usage": l.registry.Usage(change.Shard.Service, row.Holder),
+		}).Info("row planned")
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,8 @@
 	tracks  map[fleet.Incarnation]*tracked
 	budgets map[string]*budget
 	splits  map[string]*split
+	// works is the usual work of each route by name.
+	works map[string]time.Duration
 	// samples are what was seen of sharded services since the last watch.
 	samples map[string]*registry.Samples
 	rng     *rand.Rand
@@ -121,8 +123,9 @@
 		metrics: newMetrics(cfg.Registry), changed: make(chan struct{}),
 		tracks:  make(map[fleet.Incarnation]*tracked),
 		budgets: make(map[string]*budget), splits: make(map[string]*split),
+		works:   make(map[string]time.Duration),
 		samples: make(map[string]*registry.Samples),
-		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	g.view.Store(fleet.NewView())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -119,6 +119,20 @@
 	return service
 }
 
+// outcome is the end of one send.
+type outcome struct {
+	choice  choice
+	resp    *upstream.Response
+	signals Signals
+	failure *errkind.Error
+}
+
+// final reports whether the caller gets the response. A safe request that its
+// target failed may go to another one.
+func (a *attempt) final(o outcome) bool {
+	return o.failure == nil && !o.signals.NotRun && (o.resp.Status < 500 || a.route.Kind == items.Unsafe)
+}
+
 // run sends the request until it has a final answer.
 func (a *attempt) run(ctx context.Context) Result {
 	for {
@@ -126,25 +140,95 @@
 		if failure != nil {
 			return a.giveUp(failure)
 		}
-		resp, signals, failure := a.send(ctx, c)
-		if failure == nil && !signals.NotRun && (resp.Status < 500 || a.route.Kind == items.Unsafe) {
-			return Result{Response: resp}
-		}
-		switch {
-		case failure == nil && signals.NotRun:
-			failure = errkind.New(errkind.TargetRefused, "target %s refused with status %d", c.endpoint.ID, resp.Status)
-		case failure == nil:
-			a.mayHaveRun, a.last = true, resp
-			failure = errkind.New(errkind.TargetLost, "target %s failed with status %d", c.endpoint.ID, resp.Status)
-		case failure.Outcome() != errkind.NotRun:
-			a.mayHaveRun = true
+		o := a.race(ctx, c)
+		if a.final(o) {
+			return Result{Response: o.resp}
 		}
+		failure = a.note(o)
 		if !a.mayRepeat(ctx, failure) {
 			return a.giveUp(failure)
 		}
+		if a.sharded && o.signals.Misdirected {
+			a.awaitOwner(ctx, o.choice)
+		}
+	}
+}
+
+// ownerPause is how long a request waits for news after its target did not hold
+// the key: the key's new holder learns of it with its next heartbeat.
+const ownerPause = 120 * time.Millisecond
+
+// awaitOwner waits until a key that moved can be tried again. The target did
+// not run the request, so it does not count as an attempt and may be the holder
+// in a moment.
+func (a *attempt) awaitOwner(ctx context.Context, c choice) {
+	a.sends--
+	a.tried = slices.DeleteFunc(a.tried, func(in fleet.Incarnation) bool { return in == c.endpoint.Incarnation })
+	a.g.mu.Lock()
+	changed := a.g.changed
+	a.g.mu.Unlock()
+	timer := time.NewTimer(ownerPause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
+// note remembers a send without a final answer and returns why it failed.
+func (a *attempt) note(o outcome) *errkind.Error {
+	switch {
+	case o.failure == nil && o.signals.NotRun:
+		return errkind.New(errkind.TargetRefused, "target %s refused with status %d", o.choice.endpoint.ID, o.resp.Status)
+	case o.failure == nil:
+		a.mayHaveRun, a.last = true, o.resp
+		return errkind.New(errkind.TargetLost, "target %s failed with status %d", o.choice.endpoint.ID, o.resp.Status)
+	case o.failure.Outcome() != errkind.NotRun:
+		a.mayHaveRun = true
+	}
+	return o.failure
+}
+
+// race sends the request to a target and, if that is slow and the request may
+// run twice, to a second one. It returns the first final answer, or the last
+// outcome when there is none. The slower send is cancelled.
+func (a *attempt) race(ctx context.Context, first choice) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make(chan outcome, 2)
+	launch := func(c choice) {
+		a.begin(c)
+		go func() { outcomes <- a.send(ctx, c) }()
+	}
+	launch(first)
+	pending := 1
+	timer := time.NewTimer(a.hedgeAfter(first))
+	defer timer.Stop()
+	for {
+		select {
+		case o := <-outcomes:
+			pending--
+			if a.final(o) || pending == 0 {
+				return o
+			}
+			a.note(o)
+		case <-timer.C:
+			if second, ok := a.hedge(); ok {
+				launch(second)
+				pending++
+			}
+		}
+	}
+}
+
+// begin notes that the request goes to a target.
+func (a *attempt) begin(c choice) {
+	a.sends++
+	a.target = c.endpoint.ID
+	a.tried = append(a.tried, c.endpoint.Incarnation)
+}
+
 // mayRepeat reports whether the request may go to another target: it did not
 // run or may run more than once, and attempts, time and budget are left.
 func (a *attempt) mayRepeat(ctx context.Context, failure *errkind.Error) bool {
@@ -234,10 +318,10 @@
 		if t.Blocked(now) || cold && !t.ColdReady(now) {
 			continue
 		}
-		candidates = append(candidates, placement.Candidate{Track: &t.Track, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold})
+		candidates = append(candidates, placement.Candidate{Track: &t.Track, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold, Explore: a.route.Kind == items.Safe})
 		chosen = append(chosen, choice{e, t})
 	}
-	i, expected := placement.Choose(now, g.rng, candidates)
+	i, expected := placement.Choose(now, g.workOf(a.name, a.route), g.rng, candidates)
 	if i < 0 {
 		return choice{}, errkind.New(errkind.TargetUnreachable, "none of %d targets of %s can be used now", len(endpoints), a.service)
 	}
@@ -323,25 +407,22 @@
 }
 
 // send sends the request to a target and takes in what its response says.
-func (a *attempt) send(ctx context.Context, c choice) (*upstream.Response, Signals, *errkind.Error) {
+func (a *attempt) send(ctx context.Context, c choice) outcome {
 	g := a.g
 	sent := g.now()
 	header := a.req.Header.Clone()
 	g.cfg.Dialect.Prepare(header, a.end-sent, c.endpoint.ID)
-	a.sends++
-	a.target = c.endpoint.ID
-	a.tried = append(a.tried, c.endpoint.Incarnation)
 	resp, failure := g.pool.Do(ctx, &upstream.Request{
 		Addr: c.endpoint.Address, Method: a.req.Method, URI: a.req.URI, Host: a.req.Host,
 		Header: header, Body: a.req.Body, HasBody: a.req.HasBody,
 		Accept: func(r *upstream.Response) bool { return a.genuine(g.cfg.Dialect.Read(r), r) },
 	})
-	var signals Signals
+	o := outcome{choice: c, resp: resp, failure: failure}
 	if failure == nil {
-		signals = g.cfg.Dialect.Read(resp)
+		o.signals = g.cfg.Dialect.Read(resp)
 	}
-	g.learn(c, a.sharded, sent, resp, signals, failure)
-	return resp, signals, failure
+	g.learn(a, o, sent)
+	return o
 }
 
 // genuine reports whether a response answers this request and was made by the
@@ -363,34 +444,38 @@
 )
 
 // learn updates what is known of a target after a send.
-func (g *Gateway) learn(c choice, sharded bool, sent time.Duration, resp *upstream.Response, s Signals, failure *errkind.Error) {
+func (g *Gateway) learn(a *attempt, o outcome, sent time.Duration) {
 	now := g.now()
+	c, s, failure := o.choice, o.signals, o.failure
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.track.Ended()
 	if s.Load != nil {
-		c.track.Report(now, *s.Load)
+		defer c.track.Report(now, *s.Load)
 	}
-	outcome := "answered"
+	label := "answered"
 	switch {
 	case failure != nil:
-		outcome = string(failure.Kind)
+		label = string(failure.Kind)
 		unreachable := failure.Kind == errkind.TargetUnreachable
 		if failure.Kind != errkind.AnswerTimeout && (c.track.Failed() >= failuresBeforeCheck || unreachable) {
 			g.revive(c)
 		}
 	case s.Misdirected:
-		outcome = "misdirected"
-		c.track.Block(now + misdirectedPause)
+		label = "misdirected"
+		if !a.sharded {
+			c.track.Block(now + misdirectedPause)
+		}
 	case s.NotRun:
-		outcome = "refused"
-	case resp.Status < 500:
-		c.track.Served(now, now-sent, c.endpoint.Slots)
-		if sharded {
-			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, c.track)
+		label = "refused"
+	case o.resp.Status < 500:
+		work := g.workOf(a.name, a.route)
+		g.learnWork(a.name, work, c.track.Served(now, now-sent, work, c.endpoint.Slots))
+		if a.sharded {
+			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, c.track.Usual(work))
 		}
 	}
-	g.metrics.sends.WithLabelValues(outcome).Inc()
+	g.metrics.sends.WithLabelValues(label).Inc()
 }
 
 // record logs and counts a finished request. Answered requests are counted only.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -1,11 +1,36 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
 	"github.com/flamingoreel/flamingoreel/internal/registry"
 )
 
+// Figures of the work of a route.
+const (
+	// aimPerWork is the usual ratio of a route's aim to the work of a request, by
+	// which the work is guessed before the first response.
+	aimPerWork = 2.7
+	// routeWorkShare is the weight of a new observation.
+	routeWorkShare = 0.05
+)
+
+// workOf returns what a request of a route takes on an ordinary target without
+// load; the mutex is held.
+func (g *Gateway) workOf(name string, route *items.Route) time.Duration {
+	if work := g.works[name]; work > 0 {
+		return work
+	}
+	return time.Duration(float64(route.Aim) / aimPerWork)
+}
+
+// learnWork takes in an observation of a route's work; the mutex is held.
+func (g *Gateway) learnWork(name string, known, seen time.Duration) {
+	g.works[name] = known + time.Duration(routeWorkShare*float64(seen-known))
+}
+
 // maxSampledKeys bounds the keys of one service in one watch.
 const maxSampledKeys = 64
 
@@ -27,15 +52,15 @@
 }
 
 // sampleWork notes how long the work of a target takes; the mutex is held.
-func (g *Gateway) sampleWork(service string, in fleet.Incarnation, t *tracked) {
+func (g *Gateway) sampleWork(service string, in fleet.Incarnation, mean time.Duration) {
 	s := g.samplesOf(service)
 	for i := range s.Works {
 		if s.Works[i].Target == in {
-			s.Works[i].Mean = t.Work()
+			s.Works[i].Mean = mean
 			return
 		}
 	}
-	s.Works = append(s.Works, registry.Work{Target: in, Mean: t.Work()})
+	s.Works = append(s.Works, registry.Work{Target: in, Mean: mean})
 }
 
 // takeSamples returns what was seen since the last call.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,18 +28,23 @@
 
 // Figures of the estimate.
 const (
-	// firstWork is the expected work of a target that has answered nothing yet.
-	firstWork = 300 * time.Millisecond
-	// workShare is the weight of a new observation in the mean work.
-	workShare = 0.2
 	// reportHalfLife is how fast a reported load loses its weight: requests take
 	// a few hundred milliseconds, so a report of a second ago says little.
 	reportHalfLife = 700 * time.Millisecond
+	// loadShare is the weight of a new report in the usual load and slowdown.
+	loadShare = 0.15
+	// slowdownHalfLife is how fast a reported slowdown loses its weight: the
+	// targets' neighbours change several times a second.
+	slowdownHalfLife = 250 * time.Millisecond
+	// crowding is how much slower a full target works than an empty one.
+	crowding = 0.3
+	// factorShare is the weight of a new observation in the factor of a target,
+	// minFactor and maxFactor bound it, so that a straggler is tried again.
+	factorShare          = 0.1
+	minFactor, maxFactor = 0.3, 20.0
 	// spread is the random part of a score. It keeps entries that know the same
 	// from choosing the same target.
 	spread = 0.15
-	// maxWork bounds the mean work, so that a straggler is tried again.
-	maxWork = 5 * time.Second
 )
 
 // Load is what a target said of its load.
@@ -53,12 +58,18 @@
 type Track struct {
 	// InFlight is the number of own requests at the target.
 	InFlight int
-	// others is the load of other entries at the last report, at reportAt.
-	others   float64
-	reportAt time.Duration
-	slowdown float64
-	slots    int
-	work     time.Duration
+	// used says that the target got a request before.
+	used bool
+	// others is the load of other entries at the last report, at reportAt, and
+	// usual the mean of these loads.
+	others, usual float64
+	reportAt      time.Duration
+	// slowdown is the last reported one, usualSlowdown the mean; 0 while none
+	// was reported.
+	slowdown, usualSlowdown float64
+	// factor is how much longer requests take than load and slowdown explain; 0
+	// stands for 1.
+	factor float64
 	// failures counts failed requests since the last good one.
 	failures int
 	// blockedUntil is when the target may be chosen again.
@@ -68,34 +79,64 @@
 }
 
 // Started notes a request that goes to the target.
-func (t *Track) Started() { t.InFlight++ }
+func (t *Track) Started() {
+	t.InFlight++
+	t.used = true
+}
 
 // Ended notes the end of a request.
 func (t *Track) Ended() { t.InFlight-- }
 
-// Report takes in a load that came with a response at now.
+// Report takes in a load that came with a response at now. The response's own
+// request is no longer in flight.
 func (t *Track) Report(now time.Duration, l Load) {
 	t.others = math.Max(0, float64(l.Running+l.Waiting-t.InFlight))
+	t.usual += loadShare * (t.others - t.usual)
 	t.reportAt = now
+	if l.Slowdown <= 0 {
+		return
+	}
 	t.slowdown = l.Slowdown
-	t.slots = l.Slots
+	if t.usualSlowdown == 0 {
+		t.usualSlowdown = l.Slowdown
+	}
+	t.usualSlowdown += loadShare * (l.Slowdown - t.usualSlowdown)
 }
 
-// Served takes in the latency of a good response. Part of it is queueing, which
-// the estimate adds by itself, so it is divided by the rounds of the queue.
-func (t *Track) Served(now, latency time.Duration, slots int) {
+// Served takes in the latency of a good response to a request whose usual work
+// is known. It returns the work that the latency stands for on an ordinary
+// target without load.
+func (t *Track) Served(now, latency, work time.Duration, slots int) time.Duration {
 	t.failures = 0
-	work := time.Duration(float64(latency) / t.rounds(now, slots))
-	if t.work == 0 {
-		t.work = work
-		return
+	expected := t.Expected(now, slots, work)
+	if expected <= 0 {
+		return work
+	}
+	ratio := float64(latency) / float64(expected)
+	if t.factor == 0 {
+		t.factor = 1
 	}
-	t.work += time.Duration(workShare * float64(work-t.work))
-	t.work = min(t.work, maxWork)
+	t.factor *= 1 + factorShare*(math.Min(ratio, maxFactor)-1)
+	t.factor = math.Min(math.Max(t.factor, minFactor), maxFactor)
+	return time.Duration(float64(work) * ratio)
 }
 
-// Work is the mean time of a request that does not wait; 0 while not known.
-func (t *Track) Work() time.Duration { return t.work }
+// Usual is the mean time that a request of the given work takes at the target
+// when it need not wait.
+func (t *Track) Usual(work time.Duration) time.Duration {
+	slowdown := t.usualSlowdown
+	if slowdown == 0 {
+		slowdown = 1
+	}
+	return time.Duration(float64(work) * slowdown * t.correction())
+}
+
+func (t *Track) correction() float64 {
+	if t.factor == 0 {
+		return 1
+	}
+	return t.factor
+}
 
 // Blocked reports whether the target may not be chosen at now.
 func (t *Track) Blocked(now time.Duration) bool { return now < t.blockedUntil }
@@ -112,27 +153,34 @@
 	return t.failures
 }
 
-// total is the estimated number of requests at the target.
+// total is the estimated number of requests at the target. A report loses its
+// weight to the usual load as it ages.
 func (t *Track) total(now time.Duration) float64 {
-	age := float64(now-t.reportAt) / float64(reportHalfLife)
-	return float64(t.InFlight) + t.others*math.Exp2(-age)
+	fresh := math.Exp2(-float64(now-t.reportAt) / float64(reportHalfLife))
+	return float64(t.InFlight) + t.usual + fresh*(t.others-t.usual)
+}
+
+// slowness is the estimated slowdown; a reported one loses its weight to the
+// usual one as it ages.
+func (t *Track) slowness(now time.Duration) float64 {
+	if t.usualSlowdown == 0 {
+		return 1
+	}
+	fresh := math.Exp2(-float64(now-t.reportAt) / float64(slowdownHalfLife))
+	return t.usualSlowdown + fresh*(t.slowdown-t.usualSlowdown)
 }
 
 // rounds is how often the work of one request passes until a new one is done.
+// Targets slow down when they are nearly full, so the last slots count more.
 func (t *Track) rounds(now time.Duration, slots int) float64 {
-	if slots <= 0 {
-		slots = max(t.slots, 1)
-	}
-	return math.Max(1, (t.total(now)+1)/float64(slots))
+	fill := (t.total(now) + 1) / float64(max(slots, 1))
+	return math.Max(1, fill) + crowding*math.Pow(math.Min(fill, 1), 4)
 }
 
-// Expected is the estimated time until a new request at the target is answered.
-func (t *Track) Expected(now time.Duration, slots int) time.Duration {
-	work := t.work
-	if work == 0 {
-		work = firstWork
-	}
-	return time.Duration(float64(work) * t.rounds(now, slots))
+// Expected is the estimated time until a new request of the given work is
+// answered by the target.
+func (t *Track) Expected(now time.Duration, slots int, work time.Duration) time.Duration {
+	return time.Duration(float64(work) * t.rounds(now, slots) * t.slowness(now) * t.correction())
 }
 
 // TakeCold reports whether a cold target may get a request now and counts it.
@@ -155,21 +203,27 @@
 	Distance Distance
 	// Cold targets are slower than their track says.
 	Cold bool
+	// Explore lets a target that this entry has never used go before all others,
+	// so that targets that join get work.
+	Explore bool
 }
 
 // coldFactor is how much slower a cold target is taken to be.
 const coldFactor = 2
 
 // Choose returns the index of the best candidate and its expected latency, or
-// -1 when there is none.
-func Choose(now time.Duration, rng *rand.Rand, candidates []Candidate) (int, time.Duration) {
+// -1 when there is none. work is what the request takes on an ordinary target.
+func Choose(now, work time.Duration, rng *rand.Rand, candidates []Candidate) (int, time.Duration) {
 	best, bestScore, bestExpected := -1, 0.0, time.Duration(0)
 	for i, c := range candidates {
-		expected := c.Track.Expected(now, c.Slots)
+		expected := c.Track.Expected(now, c.Slots, work)
 		if c.Cold {
 			expected *= coldFactor
 		}
 		score := float64(expected)*(1+spread*rng.Float64()) + float64(distanceCost(c.Distance))
+		if c.Explore && !c.Track.used && c.Distance != OtherRegion {
+			score = 0
+		}
 		if best < 0 || score < bestScore {
 			best, bestScore, bestExpected = i, score, expected
 		}
@@ -201,3 +255,24 @@
 	}
 	return time.Duration(2 * float64(time.Second) * float64(entries) / rate)
 }
+
+// Figures of hedging.
+const (
+	// hedgeShare is the part of the time until the aim after which a second
+	// target can still answer within it.
+	hedgeShare = 0.5
+	// hedgePatience is the wait for the first target, as a multiple of its
+	// expected latency, below which it is not slow.
+	hedgePatience = 1.4
+)
+
+// HedgeAfter is how long to wait for a target before another one gets the
+// request too. left is the time until the aim.
+func HedgeAfter(left, expected time.Duration) time.Duration {
+	return max(time.Duration(hedgeShare*float64(left)), time.Duration(hedgePatience*float64(expected)))
+}
+
+// HasRoom reports whether the target would begin a new request at once.
+func (t *Track) HasRoom(now time.Duration, slots int) bool {
+	return t.total(now)+1 <= float64(slots)
+}
--- a/internal/registry/demand.go
+++ b/internal/registry/demand.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -37,14 +38,12 @@
 	// balanceInterval is the time between two balancing moves of a service: a
 	// move takes up to a second, and its effect must be seen first.
 	balanceInterval = 1500 * time.Millisecond
-	// overloadRatio is the utilisation of a target, as a multiple of the mean,
-	// above which keys are moved away, and settledRatio the one at which a
-	// balancing move ends.
-	overloadRatio = 1.5
-	settledRatio  = 1.15
-	// overloadFloor is the utilisation below which a target keeps its keys however
-	// idle the others are.
-	overloadFloor = 0.45
+	// moveRatio is how much longer requests must take at one target than at
+	// another for keys to move. A move makes the requests for its keys wait for
+	// up to two heartbeats, so small differences stay.
+	moveRatio = 1.6
+	// firstWindow is the shortest span over which demand is counted.
+	firstWindow = time.Second
 	// maxPieces bounds the rows that one balancing move touches.
 	maxPieces = 12
 	// rowsPerTarget bounds the rows of a service, and with them the answers to
@@ -60,7 +59,10 @@
 type demand struct {
 	samples  []sample
 	work     map[fleet.Incarnation]time.Duration
+	began    time.Duration
 	balanced time.Duration
+	// usage is the utilisation of each target at the last look.
+	usage map[fleet.Incarnation]float64
 }
 
 type sample struct {
@@ -72,7 +74,7 @@
 func (r *Registry) Sampled(now time.Duration, s Samples) {
 	d := r.demand[s.Service]
 	if d == nil {
-		d = &demand{work: make(map[fleet.Incarnation]time.Duration)}
+		d = &demand{work: make(map[fleet.Incarnation]time.Duration), began: now}
 		r.demand[s.Service] = d
 	}
 	for _, key := range s.Keys {
@@ -107,12 +109,40 @@
 // scale is a model of how busy the targets of a service are.
 type scale struct {
 	keys []int
-	// cost is the utilisation that one sampled request causes at a target.
-	cost  map[fleet.Incarnation]float64
-	usage map[fleet.Incarnation]float64
+	// work is the mean time of a request at a target without load, rate what one
+	// sampled request adds to the target's utilisation.
+	work  map[fleet.Incarnation]time.Duration
+	rate  map[fleet.Incarnation]float64
 	count map[fleet.Incarnation]int
 }
 
+// usage is the utilisation of a target with more requests than it has now.
+func (sc *scale) usage(in fleet.Incarnation, more int) float64 {
+	return float64(sc.count[in]+more) * sc.rate[in]
+}
+
+// latency is about how long requests take at a target with more requests than
+// it has now.
+func (sc *scale) latency(in fleet.Incarnation, more int) time.Duration {
+	u := sc.usage(in, more)
+	if u > saturation {
+		return time.Duration(float64(sc.work[in]) * (queueing(saturation) + (u-saturation)*saturatedSlope))
+	}
+	return time.Duration(float64(sc.work[in]) * queueing(u))
+}
+
+// Figures of the model of queueing.
+const (
+	// saturation is the utilisation above which the queue grows until the load
+	// falls, and saturatedSlope what each further unit of load adds.
+	saturation     = 0.9
+	saturatedSlope = 20
+)
+
+// queueing is how much longer requests take at a utilisation than without load,
+// for a handful of slots: little up to one half, then steeply more.
+func queueing(u float64) float64 { return 1 + u*u*u/(1-u) }
+
 // balance moves parts of rows from targets that are much busier than the others
 // to those that are least busy. It reports whether it changed a row.
 func (r *Registry) balance(now time.Duration, s *fleet.State, shard *fleet.Shard, usable []fleet.Incarnation) bool {
@@ -126,10 +156,14 @@
 		}
 	}
 	d.expire(now)
-	sc := newScale(d, s, shard, usable)
+	sc := newScale(now, d, s, shard, usable)
+	d.usage = make(map[fleet.Incarnation]float64, len(usable))
+	for _, in := range usable {
+		d.usage[in] = sc.usage(in, 0)
+	}
 	changed := false
 	for range maxPieces {
-		if !sc.movePiece(shard, usable, changed) {
+		if !sc.movePiece(shard, usable) {
 			break
 		}
 		changed = true
@@ -140,24 +174,32 @@
 	return changed
 }
 
-func newScale(d *demand, s *fleet.State, shard *fleet.Shard, usable []fleet.Incarnation) *scale {
+// Usage returns the utilisation of a target at the last look: the requests of a
+// second times the work of one, divided by the slots.
+func (r *Registry) Usage(service string, in fleet.Incarnation) float64 {
+	if d := r.demand[service]; d != nil {
+		return d.usage[in]
+	}
+	return 0
+}
+
+func newScale(now time.Duration, d *demand, s *fleet.State, shard *fleet.Shard, usable []fleet.Incarnation) *scale {
 	sc := &scale{
-		keys: d.sortedKeys(), cost: make(map[fleet.Incarnation]float64),
-		usage: make(map[fleet.Incarnation]float64), count: make(map[fleet.Incarnation]int),
+		keys: d.sortedKeys(), work: make(map[fleet.Incarnation]time.Duration),
+		rate: make(map[fleet.Incarnation]float64), count: make(map[fleet.Incarnation]int),
 	}
+	window := max(firstWindow, min(sampleWindow, now-d.began))
 	for _, in := range usable {
 		work := d.work[in]
 		if work == 0 {
 			work = defaultWork
 		}
 		t, _ := s.Target(in.ID)
-		sc.cost[in] = work.Seconds() / float64(max(t.Slots, 1)) / sampleWindow.Seconds()
-		sc.usage[in] = 0
+		sc.work[in] = work
+		sc.rate[in] = work.Seconds() / float64(max(t.Slots, 1)) / window.Seconds()
 	}
 	for _, row := range shard.Rows {
-		n := len(sc.within(row))
-		sc.count[row.Holder] += n
-		sc.usage[row.Holder] += float64(n) * sc.cost[row.Holder]
+		sc.count[row.Holder] += len(sc.within(row))
 	}
 	return sc
 }
@@ -169,29 +211,42 @@
 	return sc.keys[from:to]
 }
 
-// movePiece marks one part of a row of the busiest target for the least busy
-// one. Once a move is under way it goes on to a lower ratio.
-func (sc *scale) movePiece(shard *fleet.Shard, usable []fleet.Incarnation, under bool) bool {
-	mean, busiest, idlest := 0.0, usable[0], usable[0]
-	for _, in := range usable {
-		mean += sc.usage[in] / float64(len(usable))
-		if sc.usage[in] > sc.usage[busiest] {
-			busiest = in
+// movePiece marks one part of a row of the target where requests take longest
+// for the one where they then take least.
+func (sc *scale) movePiece(shard *fleet.Shard, usable []fleet.Incarnation) bool {
+	sources := slices.Clone(usable)
+	slices.SortStableFunc(sources, func(a, b fleet.Incarnation) int {
+		return cmp.Compare(sc.latency(b, 0), sc.latency(a, 0))
+	})
+	for _, from := range sources {
+		if sc.count[from] < minSamples {
+			continue
 		}
-		if sc.usage[in] < sc.usage[idlest] {
-			idlest = in
+		to, wanted := sc.receiver(usable, from)
+		if wanted > 0 && sc.cut(shard, from, to, wanted) {
+			return true
 		}
 	}
-	ratio := overloadRatio
-	if under {
-		ratio = settledRatio
-	}
-	if sc.count[busiest] < minSamples || sc.usage[busiest] < max(ratio*mean, overloadFloor) {
-		return false
+	return false
+}
+
+// receiver returns the target that can take most requests of another one and
+// still answer sooner by the ratio that justifies a move, and how many.
+func (sc *scale) receiver(usable []fleet.Incarnation, from fleet.Incarnation) (fleet.Incarnation, int) {
+	limit := time.Duration(float64(sc.latency(from, 0)) / moveRatio)
+	best, most := from, 0
+	for _, to := range usable {
+		if to == from {
+			continue
+		}
+		n := sort.Search(sc.count[from], func(n int) bool {
+			return sc.latency(to, n+1) > limit || sc.latency(to, n+1) > sc.latency(from, -(n+1))
+		})
+		if n > most {
+			best, most = to, n
+		}
 	}
-	// Moving n samples evens the two out when n times both costs is the gap.
-	wanted := int((sc.usage[busiest] - sc.usage[idlest]) / (sc.cost[busiest] + sc.cost[idlest]))
-	return wanted > 0 && sc.cut(shard, busiest, idlest, wanted)
+	return best, most
 }
 
 // cut marks the part with about the wanted number of samples at the end of the
@@ -227,8 +282,6 @@
 	shard.Rows[best].Next = to
 	sc.count[from] -= moved
 	sc.count[to] += moved
-	sc.usage[from] -= float64(moved) * sc.cost[from]
-	sc.usage[to] += float64(moved) * sc.cost[to]
 	return moved > 0
 }
 
