Let holders serve keys until they are told to release them

Cause: entries stopped sending to the holder of a moving row when the move was planned, up to a heartbeat before the holder released it, and a mark that raced with a plan was lost. Told marks now commute with plans. A hot key stays where it is and its neighbours leave.

--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -88,6 +88,8 @@
 		}
 	case cmd.Shard != nil:
 		s.applyShard(index, *cmd.Shard)
+	case cmd.Told != nil:
+		s.applyTold(index, *cmd.Told)
 	default:
 		for _, t := range cmd.Targets {
 			s.applyTarget(index, t)
@@ -156,6 +158,31 @@
 	s.shards[change.Shard.Service] = change.Shard
 }
 
+// applyTold marks the rows that still stand as they were when the holder was
+// told.
+func (s *State) applyTold(index uint64, told Told) {
+	shard, ok := s.shards[told.Service]
+	if !ok {
+		return
+	}
+	rows := slices.Clone(shard.Rows)
+	changed := false
+	for i := range rows {
+		for _, ref := range told.Rows {
+			row := &rows[i]
+			same := row.Holder == told.Holder && row.From == ref.From && row.Fence == ref.Fence
+			if same && row.Moving() != ref.Granted && row.Granted != ref.Granted {
+				row.Granted = ref.Granted
+				changed = true
+			}
+		}
+	}
+	if changed {
+		shard.Rows, shard.Revision = rows, index
+		s.shards[told.Service] = shard
+	}
+}
+
 // wellFormed reports whether rows cover all keys once, in order.
 func wellFormed(rows []Row) bool {
 	next := 0
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -75,10 +75,13 @@
 	Holder Incarnation `msgpack:"h"`
 	// Next is to hold the keys once Holder has released them. While it is set,
 	// the row is left out of the grants to Holder.
+	//
+	// Holder serves the keys until it was told.
 	Next Incarnation `msgpack:"n"`
 	// Handover is what the last holder gave when it released the keys.
 	Handover string `msgpack:"o"`
-	// Granted says that the row was handed to Holder at least once.
+	// Granted says that Holder was told to hold the row, and not yet that it is
+	// to release it.
 	Granted bool `msgpack:"g"`
 }
 
@@ -108,6 +111,7 @@
 	DataCentre *DataCentre  `msgpack:"d,omitempty"`
 	Targets    []Target     `msgpack:"t,omitempty"`
 	Shard      *ShardChange `msgpack:"s,omitempty"`
+	Told       *Told        `msgpack:"o,omitempty"`
 }
 
 // ShardChange replaces the rows of a service if the shard is still at revision
@@ -117,6 +121,22 @@
 	Shard Shard  `msgpack:"s"`
 }
 
+// Told records what a target learned from the answer to a heartbeat: rows that
+// it may serve from then on, and rows that it is to release.
+type Told struct {
+	Service string      `msgpack:"s"`
+	Holder  Incarnation `msgpack:"h"`
+	Rows    []RowRef    `msgpack:"r"`
+}
+
+// RowRef names a row of one holder.
+type RowRef struct {
+	From  int    `msgpack:"f"`
+	Fence uint64 `msgpack:"e"`
+	// Granted is the row's new mark.
+	Granted bool `msgpack:"g"`
+}
+
 // Delta is what changed after revision From up to revision To.
 type Delta struct {
 	From        uint64       `msgpack:"f"`
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -173,7 +173,7 @@
 		return nil, false
 	}
 	row := rows[i]
-	if row.Moving() || !row.Granted {
+	if !row.Granted {
 		return nil, false
 	}
 	e, ok := v.endpoints[row.Holder.ID]
--- a/internal/registry/demand.go
+++ b/internal/registry/demand.go
@@ -249,40 +249,61 @@
 	return best, most
 }
 
-// cut marks the part with about the wanted number of samples at the end of the
-// busiest row of a target, where that part has few keys.
+// piece is a part of a row that can move.
+type piece struct {
+	row      int
+	from, to int
+	samples  int
+}
+
+// cut marks the part of a target's rows that has most samples up to the wanted
+// number. A key with more samples than that stays, and the others leave it.
 func (sc *scale) cut(shard *fleet.Shard, from, to fleet.Incarnation, wanted int) bool {
-	best, most := -1, 0
+	best := piece{row: -1}
 	for i, row := range shard.Rows {
-		if n := len(sc.within(row)); row.Holder == from && !row.Moving() && n > most {
-			best, most = i, n
+		if row.Holder != from || row.Moving() {
+			continue
+		}
+		for _, p := range sc.pieces(row, wanted) {
+			if p.row = i; p.samples > best.samples {
+				best = p
+			}
 		}
 	}
-	if best < 0 {
+	if best.row < 0 {
 		return false
 	}
-	row := shard.Rows[best]
+	i := best.row
+	if best.to < shard.Rows[i].To {
+		splitRow(shard, i, best.to+1)
+	}
+	if best.from > shard.Rows[i].From {
+		i = splitRow(shard, i, best.from) + 1
+	}
+	shard.Rows[i].Next = to
+	sc.count[from] -= best.samples
+	sc.count[to] += best.samples
+	return true
+}
+
+// pieces returns the parts at both ends of a row, and the whole row, that have
+// no more samples than wanted. They end next to a sampled key, so that a part
+// has few keys.
+func (sc *scale) pieces(row fleet.Row, wanted int) []piece {
 	keys := sc.within(row)
-	if wanted < most {
-		low, high := keys[wanted-1], keys[most-wanted]
-		switch {
-		case low-row.From <= row.To-high && low < row.To:
-			best = splitRow(shard, best, low+1)
-		case high > row.From:
-			best = splitRow(shard, best, high) + 1
-		case low < row.To:
-			best = splitRow(shard, best, low+1)
-		default:
-			return false // a single key cannot be divided
-		}
-	} else if most == sc.count[from] {
-		return false // the target would have nothing left
+	if len(keys) <= wanted {
+		return []piece{{from: row.From, to: row.To, samples: len(keys)}}
+	}
+	var parts []piece
+	// The first key that must stay bounds the part at the low end.
+	if n := sort.SearchInts(keys, keys[wanted]); n > 0 {
+		parts = append(parts, piece{from: row.From, to: keys[n-1], samples: n})
+	}
+	last := keys[len(keys)-1-wanted]
+	if n := len(keys) - sort.SearchInts(keys, last+1); n > 0 {
+		parts = append(parts, piece{from: keys[len(keys)-n], to: row.To, samples: n})
 	}
-	moved := len(sc.within(shard.Rows[best]))
-	shard.Rows[best].Next = to
-	sc.count[from] -= moved
-	sc.count[to] += moved
-	return moved > 0
+	return parts
 }
 
 // splitRow divides a row so that the second part begins at a key. It returns
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -165,9 +165,9 @@
 		return Grant{}, commands
 	}
 	r.noteReleased(shard, b)
-	grant, granted := r.grant(now, c, shard, b.Target.Incarnation)
-	if granted {
-		commands = append(commands, fleet.Command{Shard: confirm(shard, b.Target.Incarnation)})
+	grant, told := r.grant(now, c, shard, b.Target.Incarnation)
+	if len(told.Rows) > 0 {
+		commands = append(commands, fleet.Command{Told: &told})
 	}
 	return grant, commands
 }
@@ -203,31 +203,23 @@
 	return fleet.Command{Targets: []fleet.Target{t}}, true
 }
 
-// grant returns what an incarnation is to hold. first reports whether a row is
-// granted for the first time.
-func (r *Registry) grant(now time.Duration, c *contact, shard fleet.Shard, in fleet.Incarnation) (g Grant, first bool) {
-	g = Grant{Renew: true, Hold: MaxHold}
+// grant returns what an incarnation is to hold, and what it learns by that.
+func (r *Registry) grant(now time.Duration, c *contact, shard fleet.Shard, in fleet.Incarnation) (Grant, fleet.Told) {
+	g := Grant{Renew: true, Hold: MaxHold}
+	told := fleet.Told{Service: shard.Service, Holder: in}
 	for _, row := range shard.Rows {
-		if row.Holder != in || row.Moving() {
+		if row.Holder != in {
 			continue
 		}
-		g.Rows = append(g.Rows, row)
-		first = first || !row.Granted
+		if !row.Moving() {
+			g.Rows = append(g.Rows, row)
+		}
+		if row.Granted == row.Moving() {
+			told.Rows = append(told.Rows, fleet.RowRef{From: row.From, Fence: row.Fence, Granted: !row.Moving()})
+		}
 	}
 	if len(g.Rows) > 0 {
 		c.until = max(c.until, expiry(now))
 	}
-	return g, first
-}
-
-// confirm records that the holder received its rows, so that entries send to it.
-func confirm(shard fleet.Shard, in fleet.Incarnation) *fleet.ShardChange {
-	next := shard
-	next.Rows = append([]fleet.Row(nil), shard.Rows...)
-	for i, row := range next.Rows {
-		if row.Holder == in && !row.Moving() {
-			next.Rows[i].Granted = true
-		}
-	}
-	return &fleet.ShardChange{Base: shard.Revision, Shard: next}
+	return g, told
 }
