Share cold targets among recorded entries by rank

Entries are now part of the state, shares are ranked, and an entry that is cut off asks the targets in use.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -67,8 +67,6 @@
 	known map[string]watch.Peer
 	// watchers holds when each entry last asked for news, and its region.
 	watchers map[string]watcher
-	// entries is how many entries the deployment has in each region.
-	entries map[string]int
 	// samples wait to be sent to the leader.
 	samples []registry.Samples
 
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -262,13 +261,10 @@
 func (c *Controller) look(ctx context.Context, req watch.Request) (watch.Answer, <-chan struct{}, *errkind.Error) {
 	results := make(chan looked, 1)
 	known := c.Known()
-	c.mu.Lock()
-	entries := maps.Clone(c.entries)
-	c.mu.Unlock()
 	c.loop.post(ctx, func() {
 		l := c.loop
 		now := c.now()
-		a := watch.Answer{Known: known, Entries: entries, Age: now - l.leaderHeard}
+		a := watch.Answer{Known: known, Age: now - l.leaderHeard}
 		if l.leading(now) {
 			a.Age = 0
 		}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -60,6 +60,8 @@
 	candidates  map[string]candidate
 	waiting     map[uint64]proposal
 	leaderHeard time.Duration
+	// entrySeen is when each entry was last known to follow a control VM.
+	entrySeen map[string]time.Duration
 }
 
 // proposal waits for its entry to be committed.
@@ -73,7 +75,7 @@
 		c: c, logger: c.cfg.Logger,
 		events: make(chan func(), eventQueue), ended: make(chan struct{}),
 		state: fleet.NewState(), changed: make(chan struct{}),
-		candidates: make(map[string]candidate), waiting: make(map[uint64]proposal),
+		candidates: make(map[string]candidate), waiting: make(map[uint64]proposal), entrySeen: make(map[string]time.Duration),
 	}
 }
 
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/watch"
 	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
@@ -39,23 +40,20 @@
 type hello struct {
 	Peer      watch.Peer `msgpack:"p"`
 	ReplicaID string     `msgpack:"r"`
-	// Watchers counts the entries that follow this VM, by region.
-	Watchers map[string]int `msgpack:"w"`
+	// Watchers are the entries that follow this VM.
+	Watchers []fleet.Entry `msgpack:"w"`
 }
 
 // helloReply names the leader, if known, and other control VMs.
 type helloReply struct {
 	Leader string       `msgpack:"l"`
 	Known  []watch.Peer `msgpack:"k"`
-	// Entries counts the entries of the deployment by region; nil unless the
-	// leader answers.
-	Entries map[string]int `msgpack:"e"`
 }
 
 // candidate is the newest introduction of a control VM.
 type candidate struct {
 	replicaID string
-	watchers  map[string]int
+	watchers  []fleet.Entry
 	at        time.Duration
 }
 
@@ -77,7 +75,7 @@
 			targets = c.Known()
 		}
 		if leader == c.cfg.Addr {
-			c.loop.post(ctx, c.loop.countEntries)
+			c.loop.post(ctx, c.loop.recordEntries)
 			targets = nil
 		}
 		for _, peer := range targets {
@@ -112,9 +110,6 @@
 		return
 	}
 	c.learn(reply.Known)
-	if reply.Entries != nil {
-		c.setEntries(reply.Entries)
-	}
 	if reply.Leader != "" && reply.Leader != c.cfg.Addr && c.Leader() == "" {
 		c.leader.Store(&reply.Leader)
 	}
@@ -162,39 +157,58 @@
 	}
 }
 
-// watching counts the entries that followed this VM lately, by region.
-func (c *Controller) watching() map[string]int {
+// watching returns the entries that followed this VM lately.
+func (c *Controller) watching() []fleet.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counts := make(map[string]int)
+	var list []fleet.Entry
 	for addr, w := range c.watchers {
 		if c.now()-w.at > freshCandidate {
 			delete(c.watchers, addr)
 			continue
 		}
-		counts[w.region]++
+		list = append(list, fleet.Entry{Addr: addr, Region: w.region})
 	}
-	return counts
+	return list
 }
 
-func (c *Controller) setEntries(counts map[string]int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.entries = counts
-}
+// entryKept is how long an entry that follows no control VM still counts. It
+// covers a partition of some seconds, in which the entry goes on serving.
+const entryKept = 20 * time.Second
 
-// countEntries adds up the entries of the deployment on the leader.
-func (l *loop) countEntries() {
-	counts := l.c.watching()
+// recordEntries brings the recorded entries in line with those that follow a
+// control VM. It runs on the leader.
+func (l *loop) recordEntries() {
+	now := l.c.now()
+	if !l.leading(now) {
+		return
+	}
+	following := l.c.watching()
 	for addr, cand := range l.candidates {
-		if addr == l.c.cfg.Addr || l.c.now()-cand.at > freshCandidate {
-			continue
+		if addr != l.c.cfg.Addr && now-cand.at < freshCandidate {
+			following = append(following, cand.watchers...)
+		}
+	}
+	var changed []fleet.Entry
+	known := l.state.Entries()
+	for _, e := range following {
+		l.entrySeen[e.Addr] = now
+		if held, ok := known[e.Addr]; !ok || held.Gone {
+			changed = append(changed, e)
 		}
-		for region, n := range cand.watchers {
-			counts[region] += n
+	}
+	for addr, held := range known {
+		seen, ok := l.entrySeen[addr]
+		if !ok {
+			l.entrySeen[addr] = now
+		} else if !held.Gone && now-seen > entryKept {
+			held.Gone = true
+			changed = append(changed, held)
 		}
 	}
-	l.c.setEntries(counts)
+	if len(changed) > 0 {
+		l.propose(now, fleet.Command{Entries: changed}, nil)
+	}
 }
 
 // helloReceived records a control VM as a candidate.
@@ -207,13 +221,7 @@
 	c.loop.post(ctx, func() {
 		c.loop.candidates[h.Peer.Addr] = candidate{replicaID: h.ReplicaID, watchers: h.Watchers, at: c.now()}
 	})
-	reply := helloReply{Leader: c.Leader(), Known: c.Known()}
-	if reply.Leader == c.cfg.Addr {
-		c.mu.Lock()
-		reply.Entries = maps.Clone(c.entries)
-		c.mu.Unlock()
-	}
-	return wire.Marshal(&reply)
+	return wire.Marshal(&helloReply{Leader: c.Leader(), Known: c.Known()})
 }
 
 // replicaMessage hands a message to the replica.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -21,6 +21,7 @@
 	targets     map[string]Target
 	shards      map[string]Shard
 	dataCentres map[string]DataCentre
+	entries     map[string]Entry
 }
 
 // NewState returns the state before the first command.
@@ -30,6 +31,7 @@
 		targets:     make(map[string]Target),
 		shards:      make(map[string]Shard),
 		dataCentres: make(map[string]DataCentre),
+		entries:     make(map[string]Entry),
 	}
 }
 
@@ -39,6 +41,9 @@
 // Items returns the configuration items.
 func (s *State) Items() *items.Set { return s.items }
 
+// Entries returns the entries by address, ended ones included.
+func (s *State) Entries() map[string]Entry { return s.entries }
+
 // Target returns the newest known incarnation of a target.
 func (s *State) Target(id string) (Target, bool) {
 	t, ok := s.targets[id]
@@ -90,6 +95,11 @@
 		s.applyShard(index, *cmd.Shard)
 	case cmd.Told != nil:
 		s.applyTold(index, *cmd.Told)
+	case len(cmd.Entries) > 0:
+		for _, e := range cmd.Entries {
+			e.Revision = index
+			s.entries[e.Addr] = e
+		}
 	default:
 		for _, t := range cmd.Targets {
 			s.applyTarget(index, t)
@@ -219,6 +229,11 @@
 			d.DataCentres = append(d.DataCentres, dc)
 		}
 	}
+	for _, e := range s.entries {
+		if e.Revision > revision {
+			d.Entries = append(d.Entries, e)
+		}
+	}
 	return d
 }
 
@@ -229,6 +244,7 @@
 	Targets     []Target     `msgpack:"t"`
 	Shards      []Shard      `msgpack:"s"`
 	DataCentres []DataCentre `msgpack:"d"`
+	Entries     []Entry      `msgpack:"e"`
 }
 
 // Snapshot encodes the state.
@@ -240,6 +256,9 @@
 	for _, dc := range s.dataCentres {
 		img.DataCentres = append(img.DataCentres, dc)
 	}
+	for _, e := range s.entries {
+		img.Entries = append(img.Entries, e)
+	}
 	return wire.Marshal(&img)
 }
 
@@ -261,5 +280,8 @@
 	for _, dc := range img.DataCentres {
 		s.dataCentres[dc.Name] = dc
 	}
+	for _, e := range img.Entries {
+		s.entries[e.Addr] = e
+	}
 	return s, nil
 }
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -105,6 +105,15 @@
 	Revision uint64 `msgpack:"r"`
 }
 
+// Entry is a VM that takes requests of callers.
+type Entry struct {
+	// Addr is the address of its links and its name.
+	Addr     string `msgpack:"a"`
+	Region   string `msgpack:"g"`
+	Gone     bool   `msgpack:"o"`
+	Revision uint64 `msgpack:"r"`
+}
+
 // Command is one entry of the control log; exactly one field is set.
 type Command struct {
 	Patch      *items.Patch `msgpack:"p,omitempty"`
@@ -112,6 +121,7 @@
 	Targets    []Target     `msgpack:"t,omitempty"`
 	Shard      *ShardChange `msgpack:"s,omitempty"`
 	Told       *Told        `msgpack:"o,omitempty"`
+	Entries    []Entry      `msgpack:"e,omitempty"`
 }
 
 // ShardChange replaces the rows of a service if the shard is still at revision
@@ -145,9 +155,10 @@
 	Targets     []Target     `msgpack:"g,omitempty"`
 	Shards      []Shard      `msgpack:"s,omitempty"`
 	DataCentres []DataCentre `msgpack:"d,omitempty"`
+	Entries     []Entry      `msgpack:"e,omitempty"`
 }
 
 // Empty reports whether the delta changes nothing.
 func (d *Delta) Empty() bool {
-	return len(d.Items)+len(d.Targets)+len(d.Shards)+len(d.DataCentres) == 0
+	return len(d.Items)+len(d.Targets)+len(d.Shards)+len(d.DataCentres)+len(d.Entries) == 0
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -26,6 +26,7 @@
 	byService   map[string][]*Endpoint
 	shards      map[string]Shard
 	dataCentres map[string]DataCentre
+	entries     map[string]Entry
 }
 
 // NewView returns the view of an entry that knows nothing yet.
@@ -33,7 +34,7 @@
 	return &View{
 		items: map[items.Key]items.Item{}, matcher: items.NewMatcher(nil),
 		endpoints: map[string]*Endpoint{}, byService: map[string][]*Endpoint{},
-		shards: map[string]Shard{}, dataCentres: map[string]DataCentre{},
+		shards: map[string]Shard{}, dataCentres: map[string]DataCentre{}, entries: map[string]Entry{},
 	}
 }
 
@@ -43,7 +44,7 @@
 	next := &View{
 		revision: max(v.revision, d.To), configured: v.configured,
 		items: v.items, matcher: v.matcher, endpoints: v.endpoints, byService: v.byService,
-		shards: v.shards, dataCentres: v.dataCentres,
+		shards: v.shards, dataCentres: v.dataCentres, entries: v.entries,
 	}
 	if len(d.Items) > 0 {
 		next.takeItems(d.Items)
@@ -54,6 +55,9 @@
 	if len(d.DataCentres) > 0 {
 		next.dataCentres = cloneWith(v.dataCentres, d.DataCentres, func(dc DataCentre) string { return dc.Name })
 	}
+	if len(d.Entries) > 0 {
+		next.entries = cloneWith(v.entries, d.Entries, func(e Entry) string { return e.Addr })
+	}
 	if len(d.Targets)+len(d.DataCentres) > 0 {
 		next.takeTargets(d, now)
 	}
@@ -182,3 +186,14 @@
 	}
 	return e, true
 }
+
+// Entries returns the entries of the deployment.
+func (v *View) Entries() []Entry {
+	list := make([]Entry, 0, len(v.entries))
+	for _, e := range v.entries {
+		if !e.Gone {
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -109,9 +109,6 @@
 	if contact := int64(asked - answer.Age); contact > g.contact.Load() {
 		g.contact.Store(contact)
 	}
-	if answer.Entries != nil {
-		g.entries.Store(&answer.Entries)
-	}
 	old := g.view.Load()
 	if answer.Delta.Empty() || answer.Delta.From > old.Revision() {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,8 +83,6 @@
 	contact atomic.Int64
 	// seeds are control VMs of changed settings that are not taken in yet.
 	seeds atomic.Pointer[[]watch.Peer]
-	// entries counts the entries of the deployment by region.
-	entries atomic.Pointer[map[string]int]
 
 	mu sync.Mutex
 	// changed is closed and replaced with each view.
@@ -110,6 +108,8 @@
 	coldUntil time.Duration
 	// reviving says that a goroutine checks whether the target is back.
 	reviving bool
+	// asked says that a request was sent since the last look at cold targets.
+	asked bool
 }
 
 // New starts an entry. It can serve once Ready reports true.
@@ -132,6 +132,7 @@
 	links.Serve()
 	g.start(g.follow)
 	g.start(g.sweep)
+	g.start(g.watchCold)
 	return g, nil
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -315,7 +315,7 @@
 	for _, e := range endpoints {
 		t := g.track(e)
 		cold := max(e.ColdUntil, t.coldUntil) > now
-		if t.Blocked(now) || cold && !t.ColdReady(now) {
+		if t.Blocked(now) || cold && (!t.ColdReady(now) || g.coldInterval(view, service, e) == 0) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{Track: &t.Track, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold, Explore: a.route.Kind == items.Safe})
@@ -329,9 +329,10 @@
 		return choice{}, errkind.New(errkind.Overloaded, "a response is expected in %v, %v are left", expected.Round(time.Millisecond), (a.end - now).Round(time.Millisecond))
 	}
 	if candidates[i].Cold {
-		chosen[i].track.TakeCold(now, g.coldInterval(service))
+		chosen[i].track.TakeCold(now, g.coldInterval(view, service, chosen[i].endpoint))
 	}
 	chosen[i].track.Started()
+	chosen[i].track.asked = true
 	return chosen[i], nil
 }
 
@@ -384,28 +385,6 @@
 	return placement.OtherRegion
 }
 
-// Figures of the shares of cold targets.
-const (
-	// defaultEntries is assumed while the number of entries is not known.
-	defaultEntries = 16
-	// coldShare is the part of the permitted requests that is used.
-	coldShare = 0.85
-)
-
-// coldInterval is the time between two requests of this entry to a cold target.
-func (g *Gateway) coldInterval(service items.Service) time.Duration {
-	count := 0
-	if counts := g.entries.Load(); counts != nil {
-		for _, n := range *counts {
-			count += n
-		}
-	}
-	if count == 0 {
-		count = defaultEntries
-	}
-	return placement.ColdInterval(coldShare*(service.ColdRate*g.cfg.ColdFactor+g.cfg.ColdSlack), count)
-}
-
 // send sends the request to a target and takes in what its response says.
 func (a *attempt) send(ctx context.Context, c choice) outcome {
 	g := a.g
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -241,21 +241,6 @@
 	return distantCost
 }
 
-// ColdInterval is the time between two requests of one entry to a cold target,
-// so that all entries together stay within rate requests in any second. Each
-// entry may send ceil(1 s / interval) in a second. Beyond one entry for each
-// permitted request the entries rely on not being in step.
-func ColdInterval(rate float64, entries int) time.Duration {
-	if rate <= 0 || entries <= 0 {
-		return time.Second
-	}
-	perEntry := math.Floor(rate / float64(entries))
-	if perEntry >= 1 {
-		return time.Duration(1.05 * float64(time.Second) / perEntry)
-	}
-	return time.Duration(2 * float64(time.Second) * float64(entries) / rate)
-}
-
 // Figures of hedging.
 const (
 	// hedgeShare is the part of the time until the aim after which a second
--- a/internal/registry/plan.go
+++ b/internal/registry/plan.go
@@ -49,18 +49,26 @@
 	return &fleet.ShardChange{Base: shard.Revision, Shard: next}
 }
 
-// usable returns the targets that may be given keys, by ID.
+// usable returns the targets that may be given keys, by ID. Cold targets bear
+// little, so they get keys only where there are no others.
 func (r *Registry) usable(now time.Duration, s *fleet.State, service string) []fleet.Incarnation {
-	var list []fleet.Incarnation
+	var list, cold []fleet.Incarnation
 	for _, t := range s.Targets() {
 		if t.Service != service || t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) {
 			continue
 		}
 		c := r.contacts[t.Incarnation]
-		if c != nil && c.seq != noSeq && now-c.heard < silentAfter {
+		switch {
+		case c == nil || c.seq == noSeq || now-c.heard >= silentAfter:
+		case now < c.coldUntil:
+			cold = append(cold, t.Incarnation)
+		default:
 			list = append(list, t.Incarnation)
 		}
 	}
+	if len(list) == 0 {
+		return cold
+	}
 	return list
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -54,9 +54,6 @@
 	Age time.Duration `msgpack:"a"`
 	// Known are the control VMs.
 	Known []Peer `msgpack:"k"`
-	// Entries is how many entries the deployment has in each region; nil while
-	// that is not known.
-	Entries map[string]int `msgpack:"n"`
 }
 
 // Peer is a control VM with its place, if known.
