Send changed rows only, merge samples, acknowledge unchanged heartbeats locally

Rows of a service were logged and streamed whole with each mark; heartbeats that say nothing new crossed regions to the leader.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -235,6 +235,7 @@
 	s := p.settings
 	c, err := controller.New(controller.Config{
 		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Seeds: s.Seeds,
+		CallAddr: s.ControlAddr, Regions: s.Regions,
 		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Tolerated: s.Tolerated,
 		Seed: uint64(time.Now().UnixNano()), Logger: p.logger,
 	})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -31,6 +31,10 @@
 	Addr string
 	// Region and DataCentre are where this VM runs.
 	Region, DataCentre string
+	// CallAddr is where targets and operators reach this VM.
+	CallAddr string
+	// Regions maps data centres to their regions.
+	Regions map[string]string
 	// Seeds are the link addresses of control VMs known at the start.
 	Seeds []string
 	// DataDir is the folder of the control log.
@@ -67,8 +71,10 @@
 	known map[string]watch.Peer
 	// watchers holds when each entry last asked for news, and its region.
 	watchers map[string]watcher
-	// samples wait to be sent to the leader.
-	samples []registry.Samples
+	// heard is when each control VM last introduced itself here.
+	heard map[string]time.Duration
+	// samples wait to be sent to the leader, by service.
+	samples map[string]registry.Samples
 
 	cancel     context.CancelFunc
 	background sync.WaitGroup
@@ -78,12 +84,13 @@
 func New(cfg Config) (*Controller, error) {
 	c := &Controller{
 		cfg: cfg, started: time.Now(),
-		known: make(map[string]watch.Peer), watchers: make(map[string]watcher),
+		known: make(map[string]watch.Peer), watchers: make(map[string]watcher), heard: make(map[string]time.Duration),
+		samples: make(map[string]registry.Samples),
 	}
 	for _, seed := range cfg.Seeds {
 		c.known[seed] = watch.Peer{Addr: seed}
 	}
-	c.known[cfg.Addr] = watch.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}
+	c.known[cfg.Addr] = c.self()
 	links, err := link.Listen(watch.LinkConfig(cfg.Addr, cfg.Seed, cfg.Logger))
 	if err != nil {
 		return nil, err
@@ -149,14 +156,20 @@
 	changeTimeout = 950 * time.Millisecond
 )
 
-// Beat passes a heartbeat to the leader. Errors: NotLeader when none was found.
+// Beat answers a heartbeat: here if it says nothing new and grants nothing, else
+// at the leader. Errors: NotLeader when none was found.
 func (c *Controller) Beat(ctx context.Context, b registry.Beat) (registry.Grant, *errkind.Error) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	known := make(chan bool, 1)
+	c.loop.post(ctx, func() { known <- c.loop.nothingNew(b) })
+	if same, failure := await(ctx, known); failure == nil && same {
+		return registry.Grant{}, nil
+	}
 	payload, err := wire.Marshal(&b)
 	if err != nil {
 		return registry.Grant{}, errkind.From(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
 	data, failure := c.callLeader(ctx, methodBeat, payload, c.leadBeat)
 	if failure != nil {
 		return registry.Grant{}, failure
@@ -168,6 +181,21 @@
 	return grant, nil
 }
 
+// Nearer returns where a target of a data centre should send its heartbeats, or
+// "" when this VM is as near as any.
+func (c *Controller) Nearer(dataCentre string) string {
+	region := c.cfg.Regions[dataCentre]
+	if region == c.cfg.Region {
+		return ""
+	}
+	for _, p := range c.Known() {
+		if p.Region == region && p.Alive && p.CallAddr != "" {
+			return p.CallAddr
+		}
+	}
+	return ""
+}
+
 // Change commits a change of the operators. Errors: InvalidText for a change
 // that is refused, NotLeader, or a kind with outcome Unknown when the change
 // may still be committed; repeating a change is harmless.
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -98,6 +100,17 @@
 	return result
 }
 
+// nothingNew reports whether a heartbeat repeats what the state holds of a
+// target that gets no keys. Such heartbeats need not reach the leader.
+func (l *loop) nothingNew(b registry.Beat) bool {
+	t, ok := l.state.Target(b.Target.ID)
+	service, standing := l.state.Items().Get(items.Key{Collection: items.Services, Name: b.Target.Service})
+	return ok && standing && !service.Service.Sharded && b.Target.ColdFor == 0 &&
+		b.Target.Condition == fleet.Ready && t.Condition == fleet.Ready &&
+		t.Incarnation == b.Target.Incarnation && t.Service == b.Target.Service &&
+		t.Address == b.Target.Address && t.Slots == b.Target.Slots
+}
+
 // leadChange commits a change of the operators as the leader.
 func (c *Controller) leadChange(ctx context.Context, payload []byte) ([]byte, error) {
 	var cmd fleet.Command
@@ -200,28 +213,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.watchers[req.Entry] = watcher{region: req.Region, at: c.now()}
-	if len(c.samples) < maxWaitingSamples {
-		c.samples = append(c.samples, req.Samples...)
+	for _, sample := range req.Samples {
+		held := c.samples[sample.Service]
+		held.Service = sample.Service
+		held.Add(sample)
+		c.samples[sample.Service] = held
 	}
 }
 
-// Limits of samples on their way to the leader.
-const (
-	// sampleInterval is the time between two deliveries.
-	sampleInterval = 300 * time.Millisecond
-	// maxWaitingSamples bounds what waits while there is no leader.
-	maxWaitingSamples = 256
-)
+// sampleInterval is the time between two deliveries of samples to the leader.
+const sampleInterval = 500 * time.Millisecond
 
 // passSamples delivers what entries saw to the leader.
 func (c *Controller) passSamples(ctx context.Context) {
 	for pause(ctx, sampleInterval) {
+		leader := c.Leader()
+		if leader == "" {
+			continue
+		}
 		c.mu.Lock()
-		samples := c.samples
-		c.samples = nil
+		samples := slices.Collect(maps.Values(c.samples))
+		clear(c.samples)
 		c.mu.Unlock()
-		leader := c.Leader()
-		if len(samples) == 0 || leader == "" {
+		if len(samples) == 0 {
 			continue
 		}
 		payload, err := wire.Marshal(samples)
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -18,15 +18,15 @@
 
 // Intervals of the control goroutine and of the replica. They are longer than
 // the defaults of consensus, because bytes between regions are priced: four
-// followers at 150 ms cost about 5 KB/s.
+// followers at 250 ms cost about 4 KB/s.
 const (
 	tickInterval      = 30 * time.Millisecond
 	planInterval      = 60 * time.Millisecond
 	memberInterval    = 300 * time.Millisecond
-	heartbeatInterval = 150 * time.Millisecond
-	electionMin       = 600 * time.Millisecond
-	electionMax       = 900 * time.Millisecond
-	leaderLease       = 500 * time.Millisecond
+	heartbeatInterval = 250 * time.Millisecond
+	electionMin       = 750 * time.Millisecond
+	electionMax       = 1100 * time.Millisecond
+	leaderLease       = 650 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 1024
 	// eventBatch is the number of events handled before their effects are synced.
@@ -266,13 +266,8 @@
 
 // logShard records which rows a plan moves or gives to a new holder.
 func (l *loop) logShard(change *fleet.ShardChange) {
-	held, _ := l.state.Shard(change.Shard.Service)
-	known := make(map[fleet.Row]bool, len(held.Rows))
-	for _, row := range held.Rows {
-		known[row] = true
-	}
 	for _, row := range change.Shard.Rows {
-		if known[row] || row.Granted && !row.Moving() {
+		if row.Granted && !row.Moving() {
 			continue
 		}
 		l.logger.WithFields(log.Fields{
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -125,7 +125,9 @@
 }
 
 func (c *Controller) self() watch.Peer {
-	return watch.Peer{Addr: c.cfg.Addr, DataCentre: c.cfg.DataCentre, Region: c.cfg.Region}
+	return watch.Peer{
+		Addr: c.cfg.Addr, DataCentre: c.cfg.DataCentre, Region: c.cfg.Region, CallAddr: c.cfg.CallAddr, Alive: true,
+	}
 }
 
 // Known returns the control VMs by address.
@@ -134,17 +136,24 @@
 	defer c.mu.Unlock()
 	var peers []watch.Peer
 	for _, addr := range slices.Sorted(maps.Keys(c.known)) {
-		peers = append(peers, c.known[addr])
+		peer := c.known[addr]
+		if at, ok := c.heard[addr]; ok {
+			peer.Alive = c.now()-at < freshCandidate
+		}
+		peers = append(peers, peer)
 	}
 	return peers
 }
 
-// learn remembers control VMs; what a VM says of its place stays known.
+// learn remembers control VMs. What a VM said of its place stays known.
 func (c *Controller) learn(peers []watch.Peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range peers {
-		if held, ok := c.known[p.Addr]; !ok || held.Region == "" {
+		if held := c.known[p.Addr]; p.Region == "" && held.Region != "" {
+			continue
+		}
+		if p.Addr != c.cfg.Addr {
 			c.known[p.Addr] = p
 		}
 	}
@@ -218,6 +227,9 @@
 		return nil, errkind.Wrap(errkind.BadRequest, err, "introduction cannot be read")
 	}
 	c.learn([]watch.Peer{h.Peer})
+	c.mu.Lock()
+	c.heard[h.Peer.Addr] = c.now()
+	c.mu.Unlock()
 	c.loop.post(ctx, func() {
 		c.loop.candidates[h.Peer.Addr] = candidate{replicaID: h.ReplicaID, watchers: h.Watchers, at: c.now()}
 	})
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -157,14 +157,18 @@
 	}
 }
 
-// applyShard replaces the rows of a service if the plan was made from the rows
-// that stand and its rows are well formed.
+// applyShard changes rows of a service if the plan was made from the rows that
+// stand and the result covers all keys.
 func (s *State) applyShard(index uint64, change ShardChange) {
 	held := s.shards[change.Shard.Service]
-	if held.Revision != change.Base || !wellFormed(change.Shard.Rows) || change.Shard.LastFence < held.LastFence {
+	for i := range change.Shard.Rows {
+		change.Shard.Rows[i].Revision = index
+	}
+	rows := overlay(held.Rows, change.Shard.Rows)
+	if held.Revision != change.Base || !wellFormed(rows) || change.Shard.LastFence < held.LastFence {
 		return
 	}
-	change.Shard.Revision = index
+	change.Shard.Rows, change.Shard.Revision = rows, index
 	s.shards[change.Shard.Service] = change.Shard
 }
 
@@ -182,7 +186,7 @@
 			row := &rows[i]
 			same := row.Holder == told.Holder && row.From == ref.From && row.Fence == ref.Fence
 			if same && row.Moving() != ref.Granted && row.Granted != ref.Granted {
-				row.Granted = ref.Granted
+				row.Granted, row.Revision = ref.Granted, index
 				changed = true
 			}
 		}
@@ -221,6 +225,7 @@
 	}
 	for _, sh := range s.shards {
 		if sh.Revision > revision {
+			sh.Rows = slices.DeleteFunc(slices.Clone(sh.Rows), func(r Row) bool { return r.Revision <= revision })
 			d.Shards = append(d.Shards, sh)
 		}
 	}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -5,6 +5,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/items"
@@ -83,6 +85,8 @@
 	// Granted says that Holder was told to hold the row, and not yet that it is
 	// to release it.
 	Granted bool `msgpack:"g"`
+	// Revision is the log index of the last change of the row.
+	Revision uint64 `msgpack:"v,omitempty"`
 }
 
 // Moving reports whether the holder is to release the row.
@@ -124,13 +128,36 @@
 	Entries    []Entry      `msgpack:"e,omitempty"`
 }
 
-// ShardChange replaces the rows of a service if the shard is still at revision
-// Base, so that a plan made from an older state has no effect.
+// ShardChange lays rows over those of a service if the shard is still at
+// revision Base, so that a plan made from an older state has no effect.
 type ShardChange struct {
 	Base  uint64 `msgpack:"b"`
 	Shard Shard  `msgpack:"s"`
 }
 
+// overlay returns rows with others laid over them: where they overlap, the
+// others stand. A changed row comes with all rows that it was cut from.
+func overlay(rows, over []Row) []Row {
+	out := slices.Clone(over)
+	for _, row := range rows {
+		covered := slices.ContainsFunc(over, func(o Row) bool { return o.From <= row.To && o.To >= row.From })
+		if !covered {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.From, b.From) })
+	return out
+}
+
+// Changed returns the rows of next that rows does not have.
+func Changed(rows, next []Row) []Row {
+	known := make(map[Row]bool, len(rows))
+	for _, row := range rows {
+		known[row] = true
+	}
+	return slices.DeleteFunc(slices.Clone(next), func(row Row) bool { return known[row] })
+}
+
 // Told records what a target learned from the answer to a heartbeat: rows that
 // it may serve from then on, and rows that it is to release.
 type Told struct {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -50,7 +50,7 @@
 		next.takeItems(d.Items)
 	}
 	if len(d.Shards) > 0 {
-		next.shards = cloneWith(v.shards, d.Shards, func(s Shard) string { return s.Service })
+		next.takeShards(d.Shards)
 	}
 	if len(d.DataCentres) > 0 {
 		next.dataCentres = cloneWith(v.dataCentres, d.DataCentres, func(dc DataCentre) string { return dc.Name })
@@ -75,6 +75,14 @@
 	return clone
 }
 
+// takeShards lays changed rows over the known ones.
+func (v *View) takeShards(changed []Shard) {
+	for i, sh := range changed {
+		changed[i].Rows = overlay(v.shards[sh.Service].Rows, sh.Rows)
+	}
+	v.shards = cloneWith(v.shards, changed, func(s Shard) string { return s.Service })
+}
+
 func (v *View) takeItems(changed []items.Item) {
 	all := make(map[items.Key]items.Item, len(v.items)+len(changed))
 	for k, item := range v.items {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -145,8 +145,12 @@
 	e := newEncoder()
 	ping := time.NewTicker(c.node.cfg.PingInterval)
 	defer ping.Stop()
+	// wrote says that frames were sent since the last tick; they show as well as
+	// a ping that this side is alive.
+	wrote := false
 	for {
 		if c.collect(e) {
+			wrote = true
 			if _, err := c.nc.Write(e.buf.Bytes()); err != nil {
 				c.fail(err)
 				return
@@ -156,7 +160,10 @@
 		select {
 		case <-c.wake:
 		case <-ping.C:
-			c.ping()
+			if !wrote {
+				c.ping()
+			}
+			wrote = false
 			e.shrink()
 		case <-c.done:
 			return
--- a/internal/registry/demand.go
+++ b/internal/registry/demand.go
@@ -24,6 +24,21 @@
 	Mean   time.Duration     `msgpack:"m"`
 }
 
+// Add takes in further samples of the service: keys up to the bound, and the
+// mean of both observations of a target's work.
+func (s *Samples) Add(more Samples) {
+	room := max(maxSamples-len(s.Keys), 0)
+	s.Keys = append(s.Keys, more.Keys[:min(room, len(more.Keys))]...)
+	for _, w := range more.Works {
+		i := slices.IndexFunc(s.Works, func(held Work) bool { return held.Target == w.Target })
+		if i < 0 {
+			s.Works = append(s.Works, w)
+			continue
+		}
+		s.Works[i].Mean = (s.Works[i].Mean + w.Mean) / 2
+	}
+}
+
 // Figures of the balance of keys.
 const (
 	// sampleWindow is how long a request counts as demand. Hot keys change within
--- a/internal/registry/plan.go
+++ b/internal/registry/plan.go
@@ -45,6 +45,7 @@
 	} else if !r.revise(now, s, &next, usable) {
 		return nil
 	}
+	next.Rows = fleet.Changed(shard.Rows, next.Rows)
 	r.proposed[service] = proposal{at: now, base: shard.Revision}
 	return &fleet.ShardChange{Base: shard.Revision, Shard: next}
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -32,8 +32,8 @@
 // Times of the links. They are longer than the defaults of link, because pings
 // between regions are priced and lossy links delay frames by retransmissions.
 const (
-	pingInterval = 400 * time.Millisecond
-	deadAfter    = 1500 * time.Millisecond
+	pingInterval = 600 * time.Millisecond
+	deadAfter    = 1800 * time.Millisecond
 )
 
 // Request asks for what changed after a revision.
@@ -61,6 +61,10 @@
 	Addr       string `msgpack:"a"`
 	DataCentre string `msgpack:"d"`
 	Region     string `msgpack:"r"`
+	// CallAddr is where targets and operators reach it.
+	CallAddr string `msgpack:"c"`
+	// Alive says that the leader heard from it lately.
+	Alive bool `msgpack:"l"`
 }
 
 // LinkConfig returns the settings of the links of a VM that is named by its
