--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,29 @@
+// Package clock reads the time since the machine booted. Unlike the runtime's
+// monotonic time it goes on while a machine is suspended, so that a VM that was
+// suspended knows that its leases have expired.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Since is a clock that starts at zero.
+type Since struct{ start time.Duration }
+
+// Start returns a clock that reads zero now.
+func Start() Since { return Since{read()} }
+
+// Now returns the time since the clock was started, suspensions included.
+func (s Since) Now() time.Duration { return read() - s.start }
+
+// read returns the time since boot. Linux has had this clock since 2.6.39, so a
+// failure means that the arguments are wrong.
+func read() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("read CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
@@ -59,10 +60,10 @@
 
 // Controller is a running control VM.
 type Controller struct {
-	cfg     Config
-	started time.Time
-	links   *link.Node
-	loop    *loop
+	cfg   Config
+	clock clock.Since
+	links *link.Node
+	loop  *loop
 	// leader is the link address of the leader that this VM follows.
 	leader atomic.Pointer[string]
 
@@ -83,7 +84,7 @@
 // New starts a control VM.
 func New(cfg Config) (*Controller, error) {
 	c := &Controller{
-		cfg: cfg, started: time.Now(),
+		cfg: cfg, clock: clock.Start(),
 		known: make(map[string]watch.Peer), watchers: make(map[string]watcher), heard: make(map[string]time.Duration),
 		samples: make(map[string]registry.Samples),
 	}
@@ -123,7 +124,7 @@
 	c.loop.close()
 }
 
-func (c *Controller) now() time.Duration { return time.Since(c.started) }
+func (c *Controller) now() time.Duration { return c.clock.Now() }
 
 // handle registers the handlers of the links.
 func (c *Controller) handle() {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -31,6 +31,8 @@
 	eventQueue = 1024
 	// eventBatch is the number of events handled before their effects are synced.
 	eventBatch = 64
+	// reopenInterval is the time between two attempts to use a failed disk again.
+	reopenInterval = 2 * time.Second
 	// compactEvery is the number of entries between two snapshots.
 	compactEvery = 1024
 )
@@ -45,7 +47,10 @@
 	store     *storage.Store
 	replicaID string
 	replica   *consensus.Node
-	failed    bool
+	// failed says that a write failed, at failedAt. The replica is then opened
+	// again from what is on disk.
+	failed   bool
+	failedAt time.Duration
 
 	state     *fleet.State
 	applied   uint64
@@ -203,6 +208,9 @@
 
 func (l *loop) tick() {
 	now := l.c.now()
+	if l.failed && now-l.failedAt >= reopenInterval {
+		l.reopen(now)
+	}
 	if l.failed {
 		return
 	}
@@ -321,7 +329,7 @@
 // fail silences the replica: it must not acknowledge what may not be on disk.
 // The VM goes on passing calls to the leader.
 func (l *loop) fail(err error) {
-	l.failed = true
+	l.failed, l.failedAt = true, l.c.now()
 	l.registry = nil
 	for index, p := range l.waiting {
 		p.done <- errkind.Wrap(errkind.DiskFailed, err, "storage failed")
@@ -330,6 +338,21 @@
 	l.logger.WithError(err).Error("storage failed, the replica stops acknowledging")
 }
 
+// reopen starts the replica again from its data directory, as a restart of the
+// process would: a disk that was full or hung may work again.
+func (l *loop) reopen(now time.Duration) {
+	l.failedAt = now
+	if err := l.store.Close(); err != nil {
+		l.logger.WithError(err).Warn("data directory not closed")
+	}
+	l.state, l.applied, l.compacted = fleet.NewState(), 0, 0
+	if err := l.open(); err != nil {
+		l.logger.WithError(err).Warn("storage still fails")
+		return
+	}
+	l.failed = false
+}
+
 func (l *loop) install(snap consensus.Snapshot) {
 	if snap.Index <= l.applied || len(snap.Data) == 0 {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/link"
 	"github.com/flamingoreel/flamingoreel/internal/placement"
@@ -73,7 +74,7 @@
 // Gateway is a running entry.
 type Gateway struct {
 	cfg     Config
-	started time.Time
+	clock   clock.Since
 	links   *link.Node
 	pool    *upstream.Pool
 	metrics *metrics
@@ -96,9 +97,11 @@
 	samples map[string]*registry.Samples
 	rng     *rand.Rand
 
+	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	ctx        context.Context
+	// closing orders the start of goroutines before the wait for their end.
+	closing sync.Mutex
 }
 
 // tracked is what the entry knows of a target.
@@ -119,7 +122,7 @@
 		return nil, err
 	}
 	g := &Gateway{
-		cfg: cfg, started: time.Now(), links: links, pool: upstream.NewPool(),
+		cfg: cfg, clock: clock.Start(), links: links, pool: upstream.NewPool(),
 		metrics: newMetrics(cfg.Registry), changed: make(chan struct{}),
 		tracks:  make(map[fleet.Incarnation]*tracked),
 		budgets: make(map[string]*budget), splits: make(map[string]*split),
@@ -136,8 +139,13 @@
 	return g, nil
 }
 
-// start runs a goroutine that ends with the gateway.
+// start runs a goroutine that ends with the gateway. After Close it does nothing.
 func (g *Gateway) start(run func(ctx context.Context)) {
+	g.closing.Lock()
+	defer g.closing.Unlock()
+	if g.ctx.Err() != nil {
+		return
+	}
 	g.background.Add(1)
 	go func() {
 		defer g.background.Done()
@@ -147,12 +155,14 @@
 
 // Close ends the entry at once.
 func (g *Gateway) Close() {
+	g.closing.Lock()
 	g.cancel()
+	g.closing.Unlock()
 	g.background.Wait()
 	_ = g.links.Close()
 }
 
-func (g *Gateway) now() time.Duration { return time.Since(g.started) }
+func (g *Gateway) now() time.Duration { return g.clock.Now() }
 
 // Ready reports whether the entry knows a configuration.
 func (g *Gateway) Ready() bool { return g.view.Load().Configured() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,6 +22,8 @@
 type Request struct {
 	ID                      string
 	Method, URI, Path, Host string
+	// Name is the host in the form in which routes name it.
+	Name string
 	// Header holds what is passed on to the target.
 	Header  http.Header
 	Body    []byte
@@ -72,12 +74,12 @@
 	if !view.Configured() {
 		return g.refuse(now, errkind.New(errkind.NoLease, "no configuration is known yet"))
 	}
-	item, ok := view.Match(req.Host, req.Path)
+	item, ok := view.Match(req.Name, req.Path)
 	if !ok {
 		if g.stale(now) {
 			return g.refuse(now, errkind.New(errkind.NoLease, "the route is not known and the configuration may be out of date"))
 		}
-		return Result{Err: errkind.New(errkind.UnknownRoute, "no route for %s%s", req.Host, req.Path)}
+		return Result{Err: errkind.New(errkind.UnknownRoute, "no route for %s%s", req.Name, req.Path)}
 	}
 	a := &attempt{g: g, req: req, route: item.Route, name: item.Name, arrived: now}
 	wait := req.Wait
