--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,308 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/upstream"
+	"github.com/flamingoreel/flamingoreel/internal/watch"
+)
+
+// testDialect names the headers of the tests' targets.
+type testDialect struct{}
+
+func (testDialect) Prepare(h http.Header, left time.Duration, target string) {
+	h.Set("X-Left", left.String())
+	h.Set("X-Target", target)
+}
+
+func (testDialect) Read(r *upstream.Response) Signals {
+	return Signals{
+		RequestID: r.Header.Get("X-Id"), Signed: r.Header.Get("X-Signed") != "", NotRun: r.Header.Get("X-Not-Run") != "",
+		Misdirected: r.Status == http.StatusMisdirectedRequest, Target: r.Header.Get("X-Target"),
+	}
+}
+
+// testTarget counts requests and answers as its function says.
+type testTarget struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	ids    []string
+}
+
+func (f *testTarget) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.ids)
+}
+
+func newTarget(t *testing.T, answer http.HandlerFunc) *testTarget {
+	f := &testTarget{}
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			w.Header().Set("X-Target", r.Host)
+			return
+		}
+		f.mu.Lock()
+		f.ids = append(f.ids, r.Header.Get("X-Id"))
+		f.mu.Unlock()
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		answer(w, r)
+	}))
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func signed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Signed", "1")
+	_, _ = fmt.Fprint(w, "answer")
+}
+
+func refused(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func broken(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+// bench is a gateway with targets of one service and one route of each kind.
+type bench struct {
+	t     *testing.T
+	g     *Gateway
+	index uint64
+}
+
+func newBench(t *testing.T, targets ...*testTarget) *bench {
+	t.Helper()
+	g, err := New(Config{
+		Addr: "127.0.0.1:0", Region: "r", DataCentre: "d", Regions: map[string]string{"d": "r", "far": "q"},
+		Dialect: testDialect{}, ColdFactor: 1, RetryRatio: 0.2, Seed: 1,
+		Logger: &log.Logger{Handler: discard.New()},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	b := &bench{t: t, g: g}
+	var list []fleet.Target
+	for i, f := range targets {
+		list = append(list, fleet.Target{
+			Incarnation: fleet.Incarnation{ID: fmt.Sprint("t", i), Born: 1}, Service: "s",
+			Address: strings.TrimPrefix(f.server.URL, "http://"), DataCentre: "d", Slots: 4,
+		})
+	}
+	route := func(name string, kind items.Kind, homes ...string) items.Item {
+		return items.Item{Key: items.Key{Collection: items.Routes, Name: name}, Version: 1, Route: &items.Route{
+			Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 400 * time.Millisecond, Aim: 200 * time.Millisecond,
+			Split: []items.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2, Homes: homes,
+		}}
+	}
+	b.put(fleet.Delta{Targets: list, Items: []items.Item{
+		{Key: items.Key{Collection: items.Services, Name: "s"}, Version: 1, Service: &items.Service{HealthPath: "/health"}},
+		route("read", items.Safe), route("post", items.Unsafe), route("home", items.Unsafe, "q"),
+	}})
+	return b
+}
+
+func (b *bench) put(d fleet.Delta) {
+	d.From = b.index
+	b.index++
+	d.To = b.index
+	b.g.take(watch.Answer{Delta: d}, b.g.now())
+}
+
+func (b *bench) serve(path, id string) Result {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return b.g.Serve(ctx, &Request{
+		ID: id, Method: "GET", URI: path, Path: path, Host: "h", Name: "h", Header: http.Header{"X-Id": {id}}, Key: NoKey,
+	})
+}
+
+func wantKind(t *testing.T, r Result, kind errkind.Kind) {
+	t.Helper()
+	if r.Err == nil || r.Err.Kind != kind {
+		t.Errorf("got %+v, want %s", r, kind)
+	}
+}
+
+// Guards against a post that runs twice because its connection broke.
+func TestPostIsNotRepeatedAfterABrokenConnection(t *testing.T) {
+	first, second := newTarget(t, broken), newTarget(t, broken)
+	b := newBench(t, first, second)
+	r := b.serve("/post/x", "1")
+	wantKind(t, r, errkind.TargetLost)
+	if got := first.count() + second.count(); got != 1 {
+		t.Errorf("the post reached targets %d times, want once", got)
+	}
+	if r.RetryAfter != 0 {
+		t.Error("the caller of a post that may have run was told to come back")
+	}
+}
+
+// Guards against a post that is given up although it did not run.
+func TestPostMovesOnAfterARefusal(t *testing.T) {
+	first, second := newTarget(t, refused), newTarget(t, signed)
+	b := newBench(t, first, second)
+	for i := range 4 {
+		if r := b.serve("/post/x", fmt.Sprint(i)); r.Err != nil || r.Response.Status != http.StatusOK {
+			t.Fatalf("got %+v, want the answer of the target that has room", r)
+		}
+	}
+}
+
+// Guards against a refusal that hides an earlier send which may have run.
+func TestRefusalIsNotSaidAfterALostSend(t *testing.T) {
+	lost, full := newTarget(t, broken), newTarget(t, refused)
+	b := newBench(t, lost, full)
+	for i := range 6 {
+		before := lost.count()
+		r := b.serve("/read/x", fmt.Sprint(i))
+		if r.Err == nil {
+			t.Fatal("a request was answered without an answer")
+		}
+		if lost.count() > before && r.Err.Outcome() == errkind.NotRun {
+			t.Errorf("got %v after a send that may have run", r.Err)
+		}
+	}
+	if lost.count() == 0 {
+		t.Error("no send was lost, so the test shows nothing")
+	}
+}
+
+// Guards against an answer of another request that reaches this caller.
+func TestAnswerOfAnotherRequestIsDropped(t *testing.T) {
+	stray := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", "other")
+		signed(w, r)
+	})
+	wantKind(t, newBench(t, stray).serve("/post/x", "1"), errkind.TargetLost)
+}
+
+// Guards against a success that the target did not make.
+func TestUnsignedSuccessIsDropped(t *testing.T) {
+	plain := newTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "proxy page") })
+	wantKind(t, newBench(t, plain).serve("/post/x", "1"), errkind.TargetLost)
+}
+
+// Guards against a read that stays late at a slow target while another is idle.
+func TestSlowReadIsHedged(t *testing.T) {
+	slow := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(2 * time.Second):
+		}
+	})
+	fast := newTarget(t, signed)
+	b := newBench(t, slow, fast)
+	for i := range 4 {
+		if r := b.serve("/read/x", fmt.Sprint(i)); r.Err != nil {
+			t.Fatalf("got %v, want the answer of the fast target", r.Err)
+		}
+	}
+	if slow.count() == 0 {
+		t.Error("the slow target was never tried, so nothing was hedged")
+	}
+}
+
+// Guards against a request that is held past the timeout of its route.
+func TestTimeoutOfTheRouteEndsARequest(t *testing.T) {
+	slow := newTarget(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	b := newBench(t, slow)
+	began := time.Now()
+	wantKind(t, b.serve("/post/x", "1"), errkind.AnswerTimeout)
+	if took := time.Since(began); took > 600*time.Millisecond {
+		t.Errorf("the request was held for %v, its route allows 400ms", took)
+	}
+}
+
+// Guards against requests that leave their home regions.
+func TestHomeRegionsBind(t *testing.T) {
+	target := newTarget(t, signed)
+	wantKind(t, newBench(t, target).serve("/home/x", "1"), errkind.TargetUnreachable)
+	if target.count() != 0 {
+		t.Error("a target outside the home regions got the request")
+	}
+}
+
+// Guards against work for draining targets and for a data centre that is out.
+func TestLeavingTargetsGetNothing(t *testing.T) {
+	target := newTarget(t, signed)
+	b := newBench(t, target)
+	b.put(fleet.Delta{DataCentres: []fleet.DataCentre{{Name: "d", Out: true}}})
+	wantKind(t, b.serve("/post/x", "1"), errkind.TargetUnreachable)
+	e, _ := b.g.view.Load().Endpoint("t0")
+	draining := e.Target
+	draining.Condition = fleet.Draining
+	b.put(fleet.Delta{DataCentres: []fleet.DataCentre{{Name: "d"}}, Targets: []fleet.Target{draining}})
+	wantKind(t, b.serve("/post/x", "2"), errkind.TargetUnreachable)
+	if target.count() != 0 {
+		t.Error("a leaving target got a request")
+	}
+}
+
+// Guards against a 404 by an entry that may not know the newest routes.
+func TestUnknownRouteNeedsAFreshState(t *testing.T) {
+	b := newBench(t, newTarget(t, signed))
+	wantKind(t, b.serve("/none/", "1"), errkind.UnknownRoute)
+	b.g.contact.Store(int64(b.g.now() - 2*staleAfter))
+	wantKind(t, b.serve("/none/", "2"), errkind.NoLease)
+}
+
+// Guards against a target that is used again before it is healthy.
+func TestLostTargetReturnsAfterAHealthCheck(t *testing.T) {
+	target := newTarget(t, signed)
+	b := newBench(t, target)
+	e, _ := b.g.view.Load().Endpoint("t0")
+	moved := e.Target
+	moved.Address = "127.0.0.1:1"
+	b.put(fleet.Delta{Targets: []fleet.Target{moved}})
+	wantKind(t, b.serve("/post/x", "1"), errkind.TargetUnreachable)
+	b.g.mu.Lock()
+	blocked := b.g.tracks[e.Incarnation].Blocked(b.g.now() + time.Hour)
+	b.g.mu.Unlock()
+	if !blocked {
+		t.Error("an unreachable target is tried again without a health check")
+	}
+}
+
+// Guards against shares of a split that differ from its weights over short spans.
+func TestSplitFollowsWeights(t *testing.T) {
+	s := new(split)
+	shares := []items.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}
+	counts := map[string]int{}
+	for range 50 {
+		counts[s.next(shares)]++
+	}
+	if counts["a"] != 45 || counts["b"] != 5 || counts["c"] != 0 {
+		t.Errorf("got %v, want 45 to 5", counts)
+	}
+}
+
+// Guards against repeats beyond their share of the requests.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	b := &budget{}
+	repeats := 0
+	for range 1000 {
+		b.earn(0.2)
+		if b.spend() {
+			repeats++
+		}
+	}
+	if repeats > 200 {
+		t.Errorf("%d of 1000 requests were repeated, 200 are permitted", repeats)
+	}
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,51 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// stuck is a reader of the log that has stopped reading.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Guards against requests that wait for a full log pipe.
+func TestFullPipeDoesNotBlock(t *testing.T) {
+	s := stuck{make(chan struct{})}
+	h := New(s)
+	logger := &log.Logger{Handler: h, Level: log.InfoLevel}
+	began := time.Now()
+	for range burstLines + 1000 {
+		logger.Info("line")
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("logging took %v", took)
+	}
+	if h.Dropped() == 0 {
+		t.Error("no dropped line was counted")
+	}
+	close(s.release)
+	h.Close()
+}
+
+// Guards against lines that are lost at the end of the process.
+func TestCloseWritesWhatIsQueued(t *testing.T) {
+	var out bytes.Buffer
+	h := New(&out)
+	logger := &log.Logger{Handler: h, Level: log.InfoLevel}
+	for range 10 {
+		logger.WithField("n", 1).Info("line")
+	}
+	h.Close()
+	if got := strings.Count(out.String(), "message=line"); got != 10 {
+		t.Errorf("%d lines were written, want 10", got)
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,231 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
+)
+
+// leader is a registry with its committed state.
+type leader struct {
+	t     testing.TB
+	state *fleet.State
+	reg   *Registry
+	index uint64
+}
+
+func newLeader(t testing.TB) *leader {
+	l := &leader{t: t, state: fleet.NewState(), reg: New(0)}
+	l.commit(fleet.Command{Patch: &items.Patch{Items: []items.Item{{
+		Key: items.Key{Collection: items.Services, Name: "s"}, Version: 1, Service: &items.Service{Sharded: true},
+	}}}})
+	return l
+}
+
+func (l *leader) commit(cmds ...fleet.Command) {
+	for _, cmd := range cmds {
+		data, err := wire.Marshal(&cmd)
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		l.index++
+		if err := l.state.Apply(l.index, data); err != nil {
+			l.t.Fatal(err)
+		}
+	}
+}
+
+func beatOf(id string, seq int64) Beat {
+	return Beat{Seq: seq, Target: fleet.Target{
+		Incarnation: fleet.Incarnation{ID: id, Born: 1}, Service: "s", Address: "10.0.0." + id + ":1", DataCentre: "d", Slots: 4,
+	}}
+}
+
+func (l *leader) beat(now time.Duration, b Beat) Grant {
+	g, cmds := l.reg.Beat(now, l.state, b)
+	l.commit(cmds...)
+	return g
+}
+
+func (l *leader) plan(now time.Duration) { l.commit(l.reg.Plan(now, l.state)...) }
+
+func (l *leader) rows() []fleet.Row {
+	shard, _ := l.state.Shard("s")
+	return shard.Rows
+}
+
+// divided returns a leader whose two targets hold half of the keys each.
+func divided(t *testing.T) *leader {
+	l := newLeader(t)
+	l.beat(0, beatOf("1", 1))
+	l.beat(0, beatOf("2", 1))
+	l.plan(settleTime)
+	l.beat(settleTime, beatOf("1", 2))
+	l.beat(settleTime, beatOf("2", 2))
+	if rows := l.rows(); len(rows) != 2 || !rows[0].Granted || !rows[1].Granted {
+		t.Fatalf("rows are %+v, want two granted halves", rows)
+	}
+	return l
+}
+
+// Guards against a call of a leaving target that is taken for a late heartbeat
+// because it carries no sequence number.
+func TestLeaveNeedsNoSequenceNumber(t *testing.T) {
+	l := divided(t)
+	known, _ := l.state.Target("1")
+	known.Condition = fleet.Left
+	l.beat(2*time.Second, Beat{Target: known})
+	if got, _ := l.state.Target("1"); got.Condition != fleet.Left {
+		t.Errorf("the target is %v after its leave call, want left", got.Condition)
+	}
+}
+
+// Guards against a late heartbeat that grants what a later one was refused.
+func TestLateHeartbeatGrantsNothing(t *testing.T) {
+	l := divided(t)
+	if g := l.beat(2*time.Second, beatOf("1", 1)); g.Renew {
+		t.Error("a heartbeat that arrived out of order renewed a grant")
+	}
+}
+
+// Guards against a second owner while the first may still hold its grant.
+func TestSilentHolderKeepsKeysUntilExpiry(t *testing.T) {
+	l := divided(t)
+	granted := settleTime
+	for now, seq := granted, int64(3); now < granted+2*MaxHold; now, seq = now+500*time.Millisecond, seq+1 {
+		l.beat(now, beatOf("2", seq))
+		l.plan(now)
+		moved := l.rows()[0].Holder.ID != "1"
+		if moved != (now > expiry(granted)) {
+			t.Fatalf("at %v the keys of the silent target moved: %v, its grant expires at %v", now, moved, expiry(granted))
+		}
+	}
+}
+
+// Guards against a new leader that does not know of the grants of the old one.
+func TestNewLeaderWaitsForOldGrants(t *testing.T) {
+	l := divided(t)
+	elected := time.Minute
+	l.reg = New(elected)
+	for now, seq := elected, int64(3); now <= expiry(elected); now, seq = now+500*time.Millisecond, seq+1 {
+		l.beat(now, beatOf("2", seq))
+		l.plan(now)
+		if l.rows()[0].Holder.ID != "1" {
+			t.Fatalf("keys moved %v after the election", now-elected)
+		}
+	}
+}
+
+// moving makes target 1 leave its data centre's service and returns the row.
+func (l *leader) moving(now time.Duration, seq int64) fleet.Row {
+	b := beatOf("1", seq)
+	b.Target.Condition = fleet.Draining
+	l.beat(now, b)
+	l.beat(now, beatOf("2", seq))
+	l.plan(now)
+	return l.rows()[0]
+}
+
+// Guards against moves without the handover and before the release.
+func TestReleasedRowMovesWithHandover(t *testing.T) {
+	l := divided(t)
+	row := l.moving(2*time.Second, 3)
+	if row.Next.ID != "2" || row.Holder.ID != "1" {
+		t.Fatalf("row is %+v, want it on its way from 1 to 2", row)
+	}
+	b := beatOf("1", 4)
+	b.Target.Condition = fleet.Draining
+	b.Released = []Released{{From: row.From, To: row.To, Handover: "h"}}
+	l.beat(2100*time.Millisecond, b)
+	l.plan(3 * time.Second)
+	got := l.rows()[0]
+	if got.Holder.ID != "2" || got.Handover != "h" || got.Fence <= row.Fence {
+		t.Errorf("row is %+v, want it at 2 with the handover and a higher fence", got)
+	}
+}
+
+// Guards against counting the repetition of an earlier release for a later
+// grant of the same keys: its target then still holds them.
+func TestRepeatedReleaseDoesNotEndLaterGrant(t *testing.T) {
+	l := divided(t)
+	b := beatOf("1", 3)
+	b.Released = []Released{{From: 0, To: fleet.MaxKey, Handover: "old"}}
+	l.beat(2*time.Second, b)
+	l.moving(2100*time.Millisecond, 4)
+	l.plan(3 * time.Second)
+	if got := l.rows()[0]; got.Holder.ID != "1" {
+		t.Errorf("row is %+v, want it at its holder until that releases it", got)
+	}
+}
+
+// Guards against keys that wait for the expiry of a target that has restarted.
+func TestRestartedTargetFreesItsKeys(t *testing.T) {
+	l := divided(t)
+	b := beatOf("1", 1)
+	b.Target.Born = 2
+	l.beat(2*time.Second, b)
+	l.beat(2*time.Second, beatOf("2", 3))
+	l.plan(2 * time.Second)
+	if got := l.rows()[0]; got.Holder == (fleet.Incarnation{ID: "1", Born: 1}) {
+		t.Errorf("row is %+v, still with the ended incarnation", got)
+	}
+}
+
+// Guards against keys for cold targets while others can take them.
+func TestColdTargetsGetNoKeys(t *testing.T) {
+	l := newLeader(t)
+	cold := beatOf("1", 1)
+	cold.Target.ColdFor = 3 * time.Second
+	l.beat(0, cold)
+	l.beat(0, beatOf("2", 1))
+	l.plan(settleTime)
+	for _, row := range l.rows() {
+		if row.Holder.ID == "1" {
+			t.Errorf("the cold target holds %+v", row)
+		}
+	}
+}
+
+// Guards against a hot range that overloads one target while others are idle,
+// and against moving one hot key, which would overload the next.
+func TestDemandIsSpread(t *testing.T) {
+	l := divided(t)
+	var keys []int
+	for i := range 120 {
+		keys = append(keys, 100+i) // all of them held by target 1
+	}
+	l.reg.Sampled(2*time.Second, Samples{Service: "s", Keys: keys})
+	l.beat(2*time.Second, beatOf("1", 3))
+	l.beat(2*time.Second, beatOf("2", 3))
+	l.plan(2 * time.Second)
+	moved := 0
+	for _, row := range l.rows() {
+		if row.Moving() {
+			moved += min(row.To, 219) - max(row.From, 100) + 1
+		}
+	}
+	if moved < 30 || moved > 70 {
+		t.Errorf("%d of 120 busy keys move, want about half", moved)
+	}
+}
+
+// Guards against endless moves of one key that no target can serve alone.
+func TestSingleHotKeyStays(t *testing.T) {
+	l := divided(t)
+	keys := []int{50, 51, 52, 53}
+	for range 200 {
+		keys = append(keys, 100)
+	}
+	l.reg.Sampled(2*time.Second, Samples{Service: "s", Keys: keys})
+	l.beat(2*time.Second, beatOf("1", 3))
+	l.beat(2*time.Second, beatOf("2", 3))
+	l.plan(2 * time.Second)
+	for _, row := range l.rows() {
+		if row.Moving() && row.From <= 100 && row.To >= 100 {
+			t.Errorf("the hot key moves with %+v", row)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,210 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+)
+
+// fakeTarget answers each request on a connection by a function that writes
+// bytes; it closes the connection when the function returns false.
+type fakeTarget struct {
+	addr     string
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+func startTarget(t *testing.T, answer func(c net.Conn, request int) bool) *fakeTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	f := &fakeTarget{addr: listener.Addr().String()}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			f.conns.Add(1)
+			go f.serve(c, answer)
+		}
+	}()
+	return f
+}
+
+func (f *fakeTarget) serve(c net.Conn, answer func(net.Conn, int) bool) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		f.requests.Add(1)
+		if !answer(c, n) {
+			return
+		}
+	}
+}
+
+func ok(c net.Conn, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+func get(addr string) *Request {
+	return &Request{Addr: addr, Method: "GET", URI: "/a?b=c", Host: "h", Header: http.Header{}}
+}
+
+func do(p *Pool, req *Request) (*Response, *errkind.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return p.Do(ctx, req)
+}
+
+func wantKind(t *testing.T, err *errkind.Error, kind errkind.Kind) {
+	t.Helper()
+	if err == nil || err.Kind != kind {
+		t.Errorf("got %v, want %s", err, kind)
+	}
+}
+
+// Guards against a second response that is taken for the next request's.
+func TestSecondResponseIsNeverUsed(t *testing.T) {
+	f := startTarget(t, func(c net.Conn, n int) bool {
+		_ = ok(c, "first")
+		time.Sleep(20 * time.Millisecond)
+		return ok(c, "stray")
+	})
+	p := NewPool()
+	for range 3 {
+		resp, err := do(p, get(f.addr))
+		if err != nil || string(resp.Body) != "first" {
+			t.Fatalf("got %v, %v, want the response to the request", resp, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if got := f.conns.Load(); got != 3 {
+		t.Errorf("%d connections, want a new one after each stray response", got)
+	}
+}
+
+// Guards against a truncated body that looks complete.
+func TestTruncatedResponseFails(t *testing.T) {
+	f := startTarget(t, func(c net.Conn, n int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		return false
+	})
+	_, err := do(NewPool(), get(f.addr))
+	wantKind(t, err, errkind.TargetLost)
+}
+
+// Guards against a second send: a request on a kept connection that breaks may
+// have run.
+func TestBrokenConnectionIsNotRetried(t *testing.T) {
+	f := startTarget(t, func(c net.Conn, n int) bool { return n == 1 && ok(c, "x") })
+	p := NewPool()
+	if _, err := do(p, get(f.addr)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := do(p, get(f.addr))
+	wantKind(t, err, errkind.TargetLost)
+	if got := f.requests.Load(); got != 2 {
+		t.Errorf("the target saw %d requests, want 2", got)
+	}
+}
+
+// Guards against use of a connection that its target has closed.
+func TestClosedConnectionIsReplaced(t *testing.T) {
+	f := startTarget(t, func(c net.Conn, n int) bool { _ = ok(c, "x"); return false })
+	p := NewPool()
+	for range 3 {
+		if _, err := do(p, get(f.addr)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against a response of another request on the same connection.
+func TestRejectedResponseClosesItsConnection(t *testing.T) {
+	f := startTarget(t, func(c net.Conn, n int) bool { return ok(c, "x") })
+	p := NewPool()
+	req := get(f.addr)
+	req.Accept = func(*Response) bool { return false }
+	_, err := do(p, req)
+	wantKind(t, err, errkind.TargetLost)
+	if _, err := do(p, get(f.addr)); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.conns.Load(); got != 2 {
+		t.Errorf("%d connections, want a new one after the rejected response", got)
+	}
+}
+
+// Guards against calling a request lost that cannot have reached its target.
+func TestRefusedConnectionIsUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := listener.Addr().String()
+	_ = listener.Close()
+	_, failure := do(NewPool(), get(addr))
+	wantKind(t, failure, errkind.TargetUnreachable)
+}
+
+// Guards against work that goes on after the caller has left.
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	f := startTarget(t, func(c net.Conn, n int) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := NewPool().Do(ctx, get(f.addr))
+	wantKind(t, err, errkind.AnswerTimeout)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Error("the target's connection stays open")
+	}
+}
+
+// Guards against changes of path, query, headers or body on the way.
+func TestRequestIsSentUnchanged(t *testing.T) {
+	got := string(encode(&Request{
+		Method: "POST", URI: "/a%2Fb/../c?x=%20&y", Host: "h.example", Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("body"), HasBody: true,
+	}))
+	want := "POST /a%2Fb/../c?x=%20&y HTTP/1.1\r\nHost: h.example\r\nX-A: 1\r\nX-A: 2\r\nContent-Length: 4\r\n\r\nbody"
+	if got != want {
+		t.Errorf("sent %q, want %q", got, want)
+	}
+}
+
+// Guards against use of a connection past the time that its target announced.
+func TestIdleTimeFollowsTheTarget(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"timeout=10, max=5": 6 * time.Second, "timeout=1": 600 * time.Millisecond, "": idleDefault, "timeout=x": idleDefault,
+	} {
+		if got := idleTime(http.Header{"Keep-Alive": {value}}); got != want {
+			t.Errorf("%q: got %v, want %v", value, got, want)
+		}
+	}
+}
