--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -193,7 +193,7 @@
 		Seed: uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
 	})
 	if err != nil {
-		return err
+		return cli.Exit(err, exitSettings)
 	}
 	defer g.Close()
 	ingress := &platform.Ingress{Gateway: g}
@@ -240,7 +240,7 @@
 		Seed: uint64(time.Now().UnixNano()), Logger: p.logger,
 	})
 	if err != nil {
-		return err
+		return cli.Exit(err, exitSettings)
 	}
 	defer c.Close()
 	calls, err := p.listen(s.ControlAddr, &platform.Calls{Control: c, Logger: p.logger})
--- a/cmd/flamingoreeld/run.go
+++ b/cmd/flamingoreeld/run.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/logfmt"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/urfave/cli/v3"
 
 	"github.com/flamingoreel/flamingoreel/internal/admin"
 	"github.com/flamingoreel/flamingoreel/internal/vm"
@@ -44,7 +45,8 @@
 		Logger:         logger, Registry: registry,
 	})
 	if err != nil {
-		return err
+		// Addresses and the data directory come from the settings.
+		return cli.Exit(err, exitSettings)
 	}
 	defer node.Close()
 	callers := &http.Server{Handler: node.Entry().Handler(), ReadHeaderTimeout: headerTimeout}
