Send again to targets that refused and avoid troubled ones

Cause: a target that sheds part of its requests cost two of them their attempts, and a holder of keys that refused once ended the request. A refused send may be repeated at the same target after a pause, within the budget; targets that fail or refuse look slower by their recent share; an unreachable target is no attempt, since no byte left. Ruled out: shedding requests that would be late, because clients come back within their deadline and are then served late all the same.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -74,7 +74,6 @@
 	logs     *logs.Handler
 	logger   *log.Logger
 	registry *prometheus.Registry
-	servers  []*http.Server
 	failed   chan error
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,6 +56,12 @@
 	end time.Duration
 	// sends counts the targets to which the request went.
 	sends int
+	// refusals counts the sends that a target refused without running them, and
+	// refusedBy are these targets. They may get the request again.
+	refusals  int
+	refusedBy []fleet.Incarnation
+	// unreachable counts the targets to which there was no connection.
+	unreachable int
 	// mayHaveRun says that a send ended without it being known whether the
 	// target ran the request.
 	mayHaveRun bool
@@ -147,29 +153,51 @@
 			return Result{Response: o.resp}
 		}
 		failure = a.note(o)
+		if a.unreached(ctx, o) {
+			continue
+		}
 		if !a.mayRepeat(ctx, failure) {
 			return a.giveUp(failure)
 		}
-		if a.sharded && o.signals.Misdirected {
-			a.awaitOwner(ctx, o.choice)
+		if o.signals.NotRun {
+			a.afterRefusal(ctx, o)
 		}
 	}
 }
 
-// ownerPause is how long a request waits for news after its target did not hold
-// the key: the key's new holder learns of it with its next heartbeat.
-const ownerPause = 120 * time.Millisecond
+// Limits of sends that targets refuse. A target that refused did not run the
+// request, so it may get it again without being one more target.
+const (
+	// maxRefusals bounds the refused sends of one request.
+	maxRefusals = 5
+	// ownerPause is how long a request waits for news after its target did not
+	// hold the key: the new holder learns of it with its next heartbeat.
+	ownerPause = 120 * time.Millisecond
+	// refusalPause is how long a request waits before it goes back to a target
+	// that refused it: about the time in which one of a few slots becomes free.
+	refusalPause = 60 * time.Millisecond
+)
 
-// awaitOwner waits until a key that moved can be tried again. The target did
-// not run the request, so it does not count as an attempt and may be the holder
-// in a moment.
-func (a *attempt) awaitOwner(ctx context.Context, c choice) {
-	a.sends--
-	a.tried = slices.DeleteFunc(a.tried, func(in fleet.Incarnation) bool { return in == c.endpoint.Incarnation })
+// afterRefusal waits until a request that a target refused can be sent again.
+// There is no wait while other targets are left to try.
+func (a *attempt) afterRefusal(ctx context.Context, o outcome) {
+	a.refusals++
+	a.refusedBy = append(a.refusedBy, o.choice.endpoint.Incarnation)
+	wait := refusalPause
+	switch {
+	case o.signals.Misdirected && a.sharded:
+		wait = ownerPause
+	case o.signals.Misdirected:
+		return // another target has the address
+	case !a.sharded && len(a.tried) < a.route.MaxAttempts:
+		return
+	}
+	a.tried = slices.DeleteFunc(a.tried, func(in fleet.Incarnation) bool { return slices.Contains(a.refusedBy, in) })
+	a.sends = len(a.tried)
 	a.g.mu.Lock()
 	changed := a.g.changed
 	a.g.mu.Unlock()
-	timer := time.NewTimer(ownerPause)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-changed:
@@ -178,6 +206,22 @@
 	}
 }
 
+// maxUnreached bounds the targets that one request finds unreachable.
+const maxUnreached = 6
+
+// unreached takes back a send for which there was no connection: no byte left,
+// so it is no attempt and no repeat. The target is not chosen again until it
+// passes a health check. It reports whether to go on.
+func (a *attempt) unreached(ctx context.Context, o outcome) bool {
+	if o.failure == nil || o.failure.Kind != errkind.TargetUnreachable || a.unreachable >= maxUnreached || ctx.Err() != nil {
+		return false
+	}
+	a.unreachable++
+	a.sends--
+	a.tried = slices.DeleteFunc(a.tried, func(in fleet.Incarnation) bool { return in == o.choice.endpoint.Incarnation })
+	return true
+}
+
 // note remembers a send without a final answer and returns why it failed.
 func (a *attempt) note(o outcome) *errkind.Error {
 	switch {
@@ -234,7 +278,11 @@
 // mayRepeat reports whether the request may go to another target: it did not
 // run or may run more than once, and attempts, time and budget are left.
 func (a *attempt) mayRepeat(ctx context.Context, failure *errkind.Error) bool {
-	if ctx.Err() != nil || a.sends >= a.route.MaxAttempts {
+	if ctx.Err() != nil || a.refusals >= maxRefusals {
+		return false
+	}
+	refused := failure.Kind == errkind.TargetRefused
+	if a.sends >= a.route.MaxAttempts && !refused {
 		return false
 	}
 	if failure.Outcome() != errkind.NotRun && a.route.Kind != items.Safe {
@@ -364,9 +412,28 @@
 	if e.Condition != fleet.Ready || view.DataCentreOut(e.DataCentre) || slices.Contains(a.tried, e.Incarnation) {
 		return false
 	}
+	if a.targets() >= a.route.MaxAttempts && !slices.Contains(a.refusedBy, e.Incarnation) {
+		return false
+	}
 	return len(a.route.Homes) == 0 || slices.Contains(a.route.Homes, a.g.cfg.Regions[e.DataCentre])
 }
 
+// targets counts the different targets to which the request was sent.
+func (a *attempt) targets() int {
+	count := len(a.refusedBy)
+	for i, in := range a.refusedBy {
+		if slices.Contains(a.refusedBy[:i], in) {
+			count--
+		}
+	}
+	for _, in := range a.tried {
+		if !slices.Contains(a.refusedBy, in) {
+			count++
+		}
+	}
+	return count
+}
+
 // track returns the record of a target; the mutex is held.
 func (g *Gateway) track(e *fleet.Endpoint) *tracked {
 	t := g.tracks[e.Incarnation]
@@ -449,6 +516,7 @@
 		}
 	case s.NotRun:
 		label = "refused"
+		c.track.Refused()
 	case o.resp.Status < 500:
 		work := g.workOf(a.name, a.route)
 		g.learnWork(a.name, work, c.track.Served(now, now-sent, work, c.endpoint.Slots))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,6 +42,11 @@
 	// minFactor and maxFactor bound it, so that a straggler is tried again.
 	factorShare          = 0.1
 	minFactor, maxFactor = 0.3, 20.0
+	// troubleShare is the weight of a new observation in the share of failed and
+	// refused requests, and troubleCost how much longer a target seems to take
+	// when all of them fail: each failure costs another send or the request.
+	troubleShare = 0.15
+	troubleCost  = 4.0
 	// spread is the random part of a score. It keeps entries that know the same
 	// from choosing the same target.
 	spread = 0.15
@@ -72,6 +77,8 @@
 	factor float64
 	// failures counts failed requests since the last good one.
 	failures int
+	// trouble is the recent share of requests that failed or were refused.
+	trouble float64
 	// blockedUntil is when the target may be chosen again.
 	blockedUntil time.Duration
 	// nextCold is when a cold target may get the next request.
@@ -108,6 +115,7 @@
 // target without load.
 func (t *Track) Served(now, latency, work time.Duration, slots int) time.Duration {
 	t.failures = 0
+	t.trouble *= 1 - troubleShare
 	expected := t.Expected(now, slots, work)
 	if expected <= 0 {
 		return work
@@ -149,10 +157,14 @@
 
 // Failed notes a failed request and returns how many failed in a row.
 func (t *Track) Failed() int {
+	t.Refused()
 	t.failures++
 	return t.failures
 }
 
+// Refused notes a request that the target refused without running it.
+func (t *Track) Refused() { t.trouble += troubleShare * (1 - t.trouble) }
+
 // total is the estimated number of requests at the target. A report loses its
 // weight to the usual load as it ages.
 func (t *Track) total(now time.Duration) float64 {
@@ -220,7 +232,7 @@
 		if c.Cold {
 			expected *= coldFactor
 		}
-		score := float64(expected)*(1+spread*rng.Float64()) + float64(distanceCost(c.Distance))
+		score := float64(expected)*(1+spread*rng.Float64())*(1+troubleCost*c.Track.trouble) + float64(distanceCost(c.Distance))
 		if c.Explore && !c.Track.used && c.Distance != OtherRegion {
 			score = 0
 		}
