Count a replica as up to date only once it holds the leader's commit index

That replica heard from the leader and so counted as fresh while it still caught up, and one that had just started counted as fresh for a second. Ruled out: an entry going back in its state (it had none).

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -195,7 +195,7 @@
 		if failure != nil {
 			return nil, failure
 		}
-		if !answer.Delta.Empty() {
+		if !answer.Delta.Empty() || answer.Age == watch.Unknown {
 			return wire.Marshal(&answer)
 		}
 		select {
@@ -278,10 +278,14 @@
 	c.loop.post(ctx, func() {
 		l := c.loop
 		now := c.now()
-		a := watch.Answer{Known: known, Age: now - l.leaderHeard}
+		a := watch.Answer{Known: known, Age: l.fresh.age(now)}
 		if l.leading(now) {
 			a.Age = 0
 		}
+		if a.Age == watch.Unknown {
+			results <- looked{answer: a, changed: l.changed}
+			return
+		}
 		if l.state.Revision() >= req.Revision {
 			a.Delta = l.state.Since(req.Revision)
 		} else {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -58,13 +58,14 @@
 	// changed is closed and replaced whenever the state changes.
 	changed chan struct{}
 
-	registry    *registry.Registry
-	electedAt   time.Duration
-	lastPlan    time.Duration
-	lastMember  time.Duration
-	candidates  map[string]candidate
-	waiting     map[uint64]proposal
-	leaderHeard time.Duration
+	registry   *registry.Registry
+	electedAt  time.Duration
+	lastPlan   time.Duration
+	lastMember time.Duration
+	candidates map[string]candidate
+	waiting    map[uint64]proposal
+	// fresh is when the state last held all that the leader had committed then.
+	fresh freshness
 	// entrySeen is when each entry was last known to follow a control VM.
 	entrySeen map[string]time.Duration
 }
@@ -321,6 +322,7 @@
 		l.replica.Advance(l.c.now(), ready)
 		l.compact()
 	}
+	l.fresh.applied(l.applied)
 	if !l.failed {
 		l.watchLeadership(l.c.now())
 	}
@@ -345,7 +347,7 @@
 	if err := l.store.Close(); err != nil {
 		l.logger.WithError(err).Warn("data directory not closed")
 	}
-	l.state, l.applied, l.compacted = fleet.NewState(), 0, 0
+	l.state, l.applied, l.compacted, l.fresh = fleet.NewState(), 0, 0, freshness{}
 	if err := l.open(); err != nil {
 		l.logger.WithError(err).Warn("storage still fails")
 		return
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -247,8 +247,8 @@
 			return
 		}
 		now := c.now()
-		if m.Type == consensus.MsgAppend || m.Type == consensus.MsgSnapshot {
-			c.loop.leaderHeard = now
+		if m.Type == consensus.MsgAppend {
+			c.loop.fresh.heard(now, m.Commit)
 		}
 		c.loop.replica.Step(now, m)
 	})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,7 +19,7 @@
 	// round trip between regions and a busy control VM.
 	watchTimeout = 600 * time.Millisecond
 	// watchPause is the pause after a watch that failed.
-	watchPause = 50 * time.Millisecond
+	watchPause = 100 * time.Millisecond
 	// leaderless is the age of the leader's word above which the entry turns to
 	// another control VM.
 	leaderless = 1200 * time.Millisecond
@@ -78,7 +78,9 @@
 		g.cfg.Logger.WithField("control", peer.Addr).Info("control VM regained")
 	}
 	f.lost = false
-	g.take(answer, asked)
+	if answer.Age != watch.Unknown {
+		g.take(answer, asked)
+	}
 	f.learn(answer.Known, peer.Addr)
 	return answer.Age < leaderless
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -26,6 +26,9 @@
 // long an entry follows a control VM that lost the leader.
 const MaxWait = 700 * time.Millisecond
 
+// Unknown is an age that is not known.
+const Unknown = time.Duration(1<<63 - 1)
+
 // Cluster is the name that all links of a deployment carry.
 const Cluster = "flamingoreel"
 
@@ -50,7 +53,9 @@
 // Answer is what changed.
 type Answer struct {
 	Delta fleet.Delta `msgpack:"d"`
-	// Age is the time since the control VM heard from the leader.
+	// Age is the time since the control VM's state held all that the leader had
+	// committed; Unknown if it never did since the VM started. The delta is then
+	// empty, because the state may be older than what the entry served before.
 	Age time.Duration `msgpack:"a"`
 	// Known are the control VMs.
 	Known []Peer `msgpack:"k"`
