--- a/internal/registry/demand.go
+++ b/internal/registry/demand.go
@@ -237,6 +237,9 @@
 		if sc.count[from] < minSamples {
 			continue
 		}
+		if sc.moveHotKey(shard, usable, from) {
+			return true
+		}
 		to, wanted := sc.receiver(usable, from)
 		if wanted > 0 && sc.cut(shard, from, to, wanted) {
 			return true
@@ -245,6 +248,47 @@
 	return false
 }
 
+// moveHotKey marks a single key that makes up most of a target's requests for a
+// target that answers them much sooner. Such a key cannot be divided, so it
+// belongs to the fastest target that has room.
+func (sc *scale) moveHotKey(shard *fleet.Shard, usable []fleet.Incarnation, from fleet.Incarnation) bool {
+	for i, row := range shard.Rows {
+		if row.Holder != from || row.Moving() {
+			continue
+		}
+		key, samples := mode(sc.within(row))
+		if samples < minSamples || 2*samples < sc.count[from] {
+			continue
+		}
+		to := sc.quickest(usable, samples)
+		if time.Duration(moveRatio*float64(sc.latency(to, samples))) > sc.latency(from, 0) {
+			return false
+		}
+		sc.mark(shard, piece{row: i, from: key, to: key, samples: samples}, from, to)
+		return true
+	}
+	return false
+}
+
+// mode returns the most frequent of ascending keys and how often it occurs.
+func mode(keys []int) (key, count int) {
+	for first := 0; first < len(keys); {
+		next := sort.SearchInts(keys, keys[first]+1)
+		if next-first > count {
+			key, count = keys[first], next-first
+		}
+		first = next
+	}
+	return key, count
+}
+
+// quickest returns the target that answers soonest with further requests.
+func (sc *scale) quickest(usable []fleet.Incarnation, more int) fleet.Incarnation {
+	return slices.MinFunc(usable, func(a, b fleet.Incarnation) int {
+		return cmp.Compare(sc.latency(a, more), sc.latency(b, more))
+	})
+}
+
 // receiver returns the target that can take most requests of another one and
 // still answer sooner by the ratio that justifies a move, and how many.
 func (sc *scale) receiver(usable []fleet.Incarnation, from fleet.Incarnation) (fleet.Incarnation, int) {
@@ -288,17 +332,22 @@
 	if best.row < 0 {
 		return false
 	}
-	i := best.row
-	if best.to < shard.Rows[i].To {
-		splitRow(shard, i, best.to+1)
+	sc.mark(shard, best, from, to)
+	return true
+}
+
+// mark cuts a part out of its row and marks it for another target.
+func (sc *scale) mark(shard *fleet.Shard, p piece, from, to fleet.Incarnation) {
+	i := p.row
+	if p.to < shard.Rows[i].To {
+		splitRow(shard, i, p.to+1)
 	}
-	if best.from > shard.Rows[i].From {
-		i = splitRow(shard, i, best.from) + 1
+	if p.from > shard.Rows[i].From {
+		i = splitRow(shard, i, p.from) + 1
 	}
 	shard.Rows[i].Next = to
-	sc.count[from] -= best.samples
-	sc.count[to] += best.samples
-	return true
+	sc.count[from] -= p.samples
+	sc.count[to] += p.samples
 }
 
 // pieces returns the parts at both ends of a row, and the whole row, that have
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -229,3 +229,23 @@
 		}
 	}
 }
+
+// Guards against a hot key that stays at a slow target while a fast one is idle.
+func TestSingleHotKeyMovesToAFasterTarget(t *testing.T) {
+	l := divided(t)
+	s := Samples{Service: "s", Works: []Work{
+		{Target: fleet.Incarnation{ID: "1", Born: 1}, Mean: 800 * time.Millisecond}, {Target: fleet.Incarnation{ID: "2", Born: 1}, Mean: 300 * time.Millisecond},
+	}}
+	for range 40 {
+		s.Keys = append(s.Keys, 100)
+	}
+	l.reg.Sampled(0, s)
+	l.beat(3*time.Second, beatOf("1", 3))
+	l.beat(3*time.Second, beatOf("2", 3))
+	l.plan(3 * time.Second)
+	for _, row := range l.rows() {
+		if row.From <= 100 && row.To >= 100 && (row.Next.ID != "2" || row.From != 100 || row.To != 100) {
+			t.Errorf("the hot key is in %+v, want it alone on its way to the fast target", row)
+		}
+	}
+}
