--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -122,11 +122,11 @@
 // A kind, metric, readiness reason or log event of level error that the page
 // does not name leaves the engineer on call without advice.
 func TestOperationsNamesWhatIsSeen(t *testing.T) {
-	text := page(t, "operations.md")
+	text := page(t, "OPERATIONS.md")
 	_, kinds, _ := strings.Cut(text, "## Error kinds")
 	for _, kind := range errkind.Kinds() {
 		if strings.Count(kinds, "\n| `"+string(kind)+"` | ") != 1 {
-			t.Errorf("operations.md has no row for the kind %s", kind)
+			t.Errorf("OPERATIONS.md has no row for the kind %s", kind)
 		}
 	}
 	for _, seen := range []struct{ files, pattern, form string }{
@@ -144,7 +144,7 @@
 			for _, m := range regexp.MustCompile(seen.pattern).FindAllStringSubmatch(page(t, file), -1) {
 				count++
 				if want := fmt.Sprintf(seen.form, m[1], m[2]); !strings.Contains(text, want) {
-					t.Errorf("operations.md does not name %s of %s", want, file)
+					t.Errorf("OPERATIONS.md does not name %s of %s", want, file)
 				}
 			}
 		}
