Record when a target is no longer cold

A target's cold time counts from when an entry receives it, and the state kept it for good, so an entry that started later took every target that was ever cold for cold again. The first heartbeat after the cold time now clears it.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -105,7 +105,7 @@
 func (l *loop) nothingNew(b registry.Beat) bool {
 	t, ok := l.state.Target(b.Target.ID)
 	service, standing := l.state.Items().Get(items.Key{Collection: items.Services, Name: b.Target.Service})
-	return ok && standing && !service.Service.Sharded && b.Target.ColdFor == 0 &&
+	return ok && standing && !service.Service.Sharded && b.Target.ColdFor == 0 && t.ColdFor == 0 &&
 		b.Target.Condition == fleet.Ready && t.Condition == fleet.Ready &&
 		t.Incarnation == b.Target.Incarnation && t.Service == b.Target.Service &&
 		t.Address == b.Target.Address && t.Slots == b.Target.Slots
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -195,8 +195,10 @@
 	if same {
 		t.Condition = max(t.Condition, known.Condition)
 	}
+	// An entry that starts later must not take the target for cold again.
+	turnedWarm := same && known.ColdFor > 0 && t.ColdFor == 0 && now >= c.coldUntil
 	unchanged := same && known.Condition == t.Condition && known.Address == t.Address && known.Slots == t.Slots
-	if unchanged && !turnedCold {
+	if unchanged && !turnedCold && !turnedWarm {
 		return fleet.Command{}, false
 	}
 	c.coldUntil = now + t.ColdFor
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -249,3 +249,21 @@
 		}
 	}
 }
+
+// Guards against entries that start later and take every target that was ever
+// cold for cold again.
+func TestWarmTargetsAreRecorded(t *testing.T) {
+	l := newLeader(t)
+	cold := beatOf("1", 1)
+	cold.Target.ColdFor = 3 * time.Second
+	l.beat(0, cold)
+	for i, now := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		b := beatOf("1", int64(i+2))
+		b.Target.ColdFor = max(0, 3*time.Second-now)
+		l.beat(now, b)
+		got, _ := l.state.Target("1")
+		if warm := got.ColdFor == 0; warm != (now > 3*time.Second) {
+			t.Errorf("at %v the state says cold for %v", now, got.ColdFor)
+		}
+	}
+}
