--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -251,7 +251,7 @@
 		if failure.Kind == errkind.InvalidText || failure.Kind == errkind.BadRequest {
 			return nil, failure
 		}
-		pause(ctx, findPause)
+		clock.Pause(ctx, findPause)
 	}
 	return nil, failure
 }
@@ -270,15 +270,3 @@
 	}
 	return ""
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
@@ -226,7 +227,7 @@
 
 // passSamples delivers what entries saw to the leader.
 func (c *Controller) passSamples(ctx context.Context) {
-	for pause(ctx, sampleInterval) {
+	for clock.Pause(ctx, sampleInterval) {
 		leader := c.Leader()
 		if leader == "" {
 			continue
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
@@ -81,7 +82,7 @@
 		for _, peer := range targets {
 			c.sayHello(ctx, peer.Addr)
 		}
-		if !pause(ctx, interval) {
+		if !clock.Pause(ctx, interval) {
 			return
 		}
 	}
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
 	"github.com/flamingoreel/flamingoreel/internal/placement"
@@ -32,7 +33,7 @@
 
 // watchCold checks the targets in use while the entry is cut off from control.
 func (g *Gateway) watchCold(ctx context.Context) {
-	for pause(ctx, cutOffCheck) {
+	for clock.Pause(ctx, cutOffCheck) {
 		if g.now()-time.Duration(g.contact.Load()) < cutOffAfter || !g.Ready() {
 			continue
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/watch"
 	"github.com/flamingoreel/flamingoreel/internal/wire"
@@ -48,7 +49,7 @@
 		}
 		if !f.once(ctx) {
 			f.at = (f.at + 1) % len(f.peers)
-			pause(ctx, watchPause)
+			clock.Pause(ctx, watchPause)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,19 +183,7 @@
 const sweepInterval = 2 * time.Second
 
 func (g *Gateway) sweep(ctx context.Context) {
-	for pause(ctx, sweepInterval) {
+	for clock.Pause(ctx, sweepInterval) {
 		g.pool.Sweep()
 	}
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gateway/revive.go
+++ b/internal/gateway/revive.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 )
 
@@ -38,7 +39,7 @@
 // checkUntilBack checks a target until it is healthy or gone.
 func (g *Gateway) checkUntilBack(ctx context.Context, c choice) {
 	interval := firstCheck
-	for pause(ctx, interval) {
+	for clock.Pause(ctx, interval) {
 		e, ok := g.view.Load().Endpoint(c.endpoint.ID)
 		if !ok || e.Born != c.endpoint.Born {
 			return
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/upstream"
+)
+
+// send sends the request to a target and takes in what its response says.
+func (a *attempt) send(ctx context.Context, c choice) outcome {
+	g := a.g
+	sent := g.now()
+	header := a.req.Header.Clone()
+	g.cfg.Dialect.Prepare(header, a.end-sent, c.endpoint.ID)
+	resp, failure := g.pool.Do(ctx, &upstream.Request{
+		Addr: c.endpoint.Address, Method: a.req.Method, URI: a.req.URI, Host: a.req.Host,
+		Header: header, Body: a.req.Body, HasBody: a.req.HasBody,
+		Accept: func(r *upstream.Response) bool { return a.genuine(g.cfg.Dialect.Read(r), r) },
+	})
+	o := outcome{choice: c, resp: resp, failure: failure}
+	if failure == nil {
+		o.signals = g.cfg.Dialect.Read(resp)
+	}
+	g.learn(a, o, sent)
+	return o
+}
+
+// genuine reports whether a response answers this request and was made by the
+// target: a faulty target may send late or foreign bytes.
+func (a *attempt) genuine(s Signals, r *upstream.Response) bool {
+	if s.RequestID != a.req.ID {
+		return false
+	}
+	return r.Status >= 300 || s.Signed && r.Header.Get("Content-Encoding") == ""
+}
+
+// Times for which a target that failed is left alone.
+const (
+	// misdirectedPause is longer than the state takes to arrive.
+	misdirectedPause = 300 * time.Millisecond
+	// failuresBeforeCheck is how many requests in a row fail before the target is
+	// used again only after a health check.
+	failuresBeforeCheck = 3
+)
+
+// learn updates what is known of a target after a send.
+func (g *Gateway) learn(a *attempt, o outcome, sent time.Duration) {
+	now := g.now()
+	c, s, failure := o.choice, o.signals, o.failure
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.track.Ended()
+	if s.Load != nil {
+		defer c.track.Report(now, *s.Load)
+	}
+	label := "answered"
+	switch {
+	case failure != nil:
+		label = string(failure.Kind)
+		unreachable := failure.Kind == errkind.TargetUnreachable
+		if failure.Kind != errkind.AnswerTimeout && (c.track.Failed() >= failuresBeforeCheck || unreachable) {
+			g.revive(c)
+		}
+	case s.Misdirected:
+		label = "misdirected"
+		if !a.sharded {
+			c.track.Block(now + misdirectedPause)
+		}
+	case s.NotRun:
+		label = "refused"
+		c.track.Refused()
+	case o.resp.Status < 500:
+		work := g.workOf(a.name, a.route)
+		g.learnWork(a.name, work, c.track.Served(now, now-sent, work, c.endpoint.Slots))
+		if a.sharded {
+			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, c.track.Usual(work))
+		}
+	}
+	g.metrics.sends.WithLabelValues(label).Inc()
+}
+
+// race sends the request to a target and, if that is slow and the request may
+// run twice, to a second one. It returns the first final answer, or the last
+// outcome when there is none. The slower send is cancelled.
+func (a *attempt) race(ctx context.Context, first choice) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make(chan outcome, 2)
+	launch := func(c choice) {
+		a.begin(c)
+		go func() { outcomes <- a.send(ctx, c) }()
+	}
+	launch(first)
+	pending := 1
+	timer := time.NewTimer(a.hedgeAfter(first))
+	defer timer.Stop()
+	for {
+		select {
+		case o := <-outcomes:
+			pending--
+			if a.final(o) || pending == 0 {
+				return o
+			}
+			a.note(o)
+		case <-timer.C:
+			if second, ok := a.hedge(); ok {
+				launch(second)
+				pending++
+			}
+		}
+	}
+}
+
+// begin notes that the request goes to a target.
+func (a *attempt) begin(c choice) {
+	a.sends++
+	a.target = c.endpoint.ID
+	a.tried = append(a.tried, c.endpoint.Incarnation)
+}
--- a/internal/registry/owner_test.go
+++ b/internal/registry/owner_test.go
@@ -105,9 +105,6 @@
 	if h.draining {
 		b.Target.Condition = fleet.Draining
 	}
-	for _, r := range h.rows {
-		b.Holds = append(b.Holds, Held{r.From, r.To, r.Fence})
-	}
 	b.Released = slices.Clone(h.released)
 	w.calls = append(w.calls, call{h, w.now, w.now + w.delay(), b})
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,13 +30,6 @@
 	settleTime = 1200 * time.Millisecond
 )
 
-// Held is a row of keys that a target reports.
-type Held struct {
-	From  int    `msgpack:"f"`
-	To    int    `msgpack:"t"`
-	Fence uint64 `msgpack:"e"`
-}
-
 // Released is a row that a target gave up, with the handover for its successor.
 type Released struct {
 	From     int    `msgpack:"f"`
@@ -49,7 +42,6 @@
 	Target fleet.Target `msgpack:"t"`
 	// Seq grows with each heartbeat of an incarnation.
 	Seq      int64      `msgpack:"s"`
-	Holds    []Held     `msgpack:"h"`
 	Released []Released `msgpack:"r"`
 }
 
--- a/internal/vm/handlers.go
+++ b/internal/vm/handlers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/admission"
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -144,14 +145,14 @@
 
 // sweepRecords drops records whose retention has passed.
 func (v *VM) sweepRecords(ctx context.Context) {
-	for pause(ctx, sweepInterval) {
+	for clock.Pause(ctx, sweepInterval) {
 		v.store.Sweep(time.Now().UnixMilli())
 	}
 }
 
 // recoverRecords copies the records of all other holders after a start.
 func (v *VM) recoverRecords(ctx context.Context) {
-	for pause(ctx, recoverPause) {
+	for clock.Pause(ctx, recoverPause) {
 		others, known := v.otherHolders()
 		if !known {
 			continue
--- a/internal/vm/leader.go
+++ b/internal/vm/leader.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -151,7 +152,7 @@
 				failure = err
 			}
 		}
-		if !pause(ctx, contract.HeartbeatInterval) {
+		if !clock.Pause(ctx, contract.HeartbeatInterval) {
 			return configReply{}, failure
 		}
 	}
--- a/internal/vm/replica.go
+++ b/internal/vm/replica.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
 	"github.com/flamingoreel/flamingoreel/internal/storage"
 	"github.com/flamingoreel/flamingoreel/internal/wire"
@@ -75,7 +76,7 @@
 			l.post(func() { l.startReplica(m) })
 			return
 		}
-		if !pause(ctx, formInterval) {
+		if !clock.Pause(ctx, formInterval) {
 			return
 		}
 	}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/flamingoreel/flamingoreel/internal/admission"
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/dispatcher"
 	"github.com/flamingoreel/flamingoreel/internal/entry"
@@ -211,9 +212,9 @@
 func (v *VM) Drain(ctx context.Context) {
 	v.stopping.Store(true)
 	v.cfg.Logger.WithField("vm", v.cfg.Name).Info("draining")
-	for v.dispatcher.Contracts() > 0 && pause(ctx, drainPoll) {
+	for v.dispatcher.Contracts() > 0 && clock.Pause(ctx, drainPoll) {
 	}
-	for v.relays.Load() > 0 && pause(ctx, drainPoll) {
+	for v.relays.Load() > 0 && clock.Pause(ctx, drainPoll) {
 	}
 	v.dispatcher.WaitBackground(ctx)
 	v.records.Wait(ctx)
@@ -230,15 +231,3 @@
 	_ = v.links.Close()
 	v.loop.close()
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
