--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -31,7 +31,9 @@
 	done    chan struct{}
 	dropped atomic.Uint64
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// closed says that no line is queued any more.
+	closed bool
 	tokens float64
 	last   time.Time
 	buffer bytes.Buffer
@@ -50,6 +52,10 @@
 func (h *Handler) HandleLog(e *log.Entry) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed {
+		h.dropped.Add(1)
+		return nil
+	}
 	now := time.Now()
 	h.tokens = min(burstLines, h.tokens+linesPerSecond*now.Sub(h.last).Seconds())
 	h.last = now
@@ -95,8 +101,15 @@
 	}
 }
 
-// Close writes what is queued and ends the handler.
+// Close writes what is queued and ends the handler. Later lines are dropped:
+// goroutines that are about to end may still log.
 func (h *Handler) Close() {
-	close(h.lines)
+	h.mu.Lock()
+	again := h.closed
+	h.closed = true
+	h.mu.Unlock()
+	if !again {
+		close(h.lines)
+	}
 	<-h.done
 }
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,3 +51,23 @@
 		t.Errorf("%d lines were written, want 10", got)
 	}
 }
+
+// Guards against a panic at the end of a process, when other goroutines still
+// log.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	h := New(io.Discard)
+	logger := &log.Logger{Handler: h, Level: log.InfoLevel}
+	var loggers sync.WaitGroup
+	for range 4 {
+		loggers.Add(1)
+		go func() {
+			defer loggers.Done()
+			for range 200 {
+				logger.Info("line")
+			}
+		}()
+	}
+	h.Close()
+	loggers.Wait()
+	h.Close()
+}
