Share the wait in records and the start of processes in the session test

Cause: the wait that ends with a context still stood in internal/record, and the session test started and restarted processes by two copies of the same lines; a restarted process's log was not printed on a failure. Nothing was ruled out. No decision and no check changes.

--- a/cmd/flamingoreeld/platform_test.go
+++ b/cmd/flamingoreeld/platform_test.go
@@ -139,9 +139,15 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
+	s.run(name)
+}
+
+// run runs a VM with its settings, again after it has ended. Its log goes on
+// where it was and is printed if the test fails.
+func (s *site) run(name string) {
 	role, _, _ := strings.Cut(name, "-")
-	cmd := daemon(context.Background(), path, role)
-	log, err := os.Create(filepath.Join(s.dir, name+".log"))
+	cmd := daemon(context.Background(), filepath.Join(s.dir, name+".yaml"), role)
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -310,7 +316,7 @@
 		}
 		_ = cmd.Wait()
 		s.order("config.patch", "", laterItems)
-		s.restart(fmt.Sprint("control-", i), "control")
+		s.run(fmt.Sprint("control-", i))
 	}
 	s.eventually("the change in force", 5*time.Second, func() bool {
 		added, _ := s.request(0, "GET", "/new/x", "n1", "")
@@ -323,27 +329,6 @@
 	})
 }
 
-// restart runs a VM again with its settings.
-func (s *site) restart(name, role string) {
-	cmd := daemon(context.Background(), filepath.Join(s.dir, name+".yaml"), role)
-	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_APPEND|os.O_WRONLY, 0)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		s.t.Fatal(err)
-	}
-	s.procs[name] = cmd
-	s.t.Cleanup(func() {
-		if cmd.ProcessState == nil {
-			_ = cmd.Process.Kill()
-			_ = cmd.Wait()
-		}
-		_ = log.Close()
-	})
-}
-
 // checkPlannedStop stops an entry while it serves a request.
 func (s *site) checkPlannedStop() {
 	answered := make(chan int, 1)
--- a/internal/record/call.go
+++ b/internal/record/call.go
@@ -19,15 +19,3 @@
 	}
 	return decode(answer, reply)
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/record/coordinator.go
+++ b/internal/record/coordinator.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
 
@@ -232,7 +233,7 @@
 func (s *session) pause(ctx context.Context) bool {
 	d := s.coordinator.jitter(s.backoff)
 	s.backoff = min(2*s.backoff, maxBackoff)
-	return sleep(ctx, d)
+	return clock.Pause(ctx, d)
 }
 
 func (s *session) nextAttempt() Attempt {
--- a/internal/record/copy.go
+++ b/internal/record/copy.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 )
 
 // Bounds of one page and of a recovery.
@@ -151,7 +153,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, copyRetry) {
+		if !clock.Pause(ctx, copyRetry) {
 			return fmt.Errorf("copy records from %s: %w", vm, err)
 		}
 	}
--- a/internal/record/deliver.go
+++ b/internal/record/deliver.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 )
 
 // tell delivers a request to the holders with bounded retries. It returns once
@@ -60,7 +62,7 @@
 	backoff := deliverBackoff
 	for try := range tries {
 		if try > 0 {
-			sleep(context.Background(), c.jitter(backoff))
+			clock.Pause(context.Background(), c.jitter(backoff))
 			backoff *= 2
 		}
 		var reply AbortReply
