Answer every request before a stopping entry ends

A stopping entry closed its listener with connections still waiting to be accepted, closed kept connections that callers were about to use, and ended with requests that waited for a holder of their key or for a silent target. Ruled out: requests at working targets (they end in time or fall under the last sixth of the grace time), the wait of the balancer (3 s are enough for it). Change: the listener stays open until no caller was connected for 500 ms; new requests after the handoff are refused with a time to come back; shortly before the end waiting requests are refused and those at targets time out; callers are told to keep an idle connection for 2 s, so that none is in use when it closes.

--- a/cmd/flamingoreeld/platform_test.go
+++ b/cmd/flamingoreeld/platform_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -329,8 +330,14 @@
 	})
 }
 
-// checkPlannedStop stops an entry while it serves a request.
+// checkPlannedStop stops an entry while it serves a request and while a caller
+// is connected whose request comes late.
 func (s *site) checkPlannedStop() {
+	early, err := net.Dial("tcp", s.entries[0])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = early.Close() }()
 	answered := make(chan int, 1)
 	go func() {
 		status, _ := s.request(0, "GET", "/new/x", "last", "")
@@ -347,7 +354,32 @@
 	if resp, err := client.Get("http://" + s.ready[0] + "/ready"); err == nil && resp.StatusCode == http.StatusOK {
 		s.t.Error("a stopping entry says that it is ready")
 	}
+	s.checkLateCallers(early)
 	if err := cmd.Wait(); err != nil {
 		s.t.Errorf("the stopped entry ended with %v", err)
 	}
 }
+
+// checkLateCallers guards against callers of a stopping entry whose connections
+// are reset: it refuses their requests until none is connected.
+func (s *site) checkLateCallers(early net.Conn) {
+	s.eventually("a refusal by the stopping entry", 2*time.Second, func() bool {
+		status, body := s.request(0, "GET", "/new/x", "late", "")
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			s.t.Errorf("a new caller of the stopping entry got %d %s", status, body)
+		}
+		return status != http.StatusOK
+	})
+	if _, err := fmt.Fprintf(early, "GET /new/x HTTP/1.1\r\nHost: a.example\r\nFlamingoreel-Request-Id: late-2\r\n\r\n"); err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(early), nil)
+	if err != nil {
+		s.t.Errorf("the caller that was connected before the stop got no answer: %v", err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		s.t.Errorf("the caller that was connected before the stop got %d without a time to come back", resp.StatusCode)
+	}
+}
--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -27,8 +27,20 @@
 	// handoffTime is how long a stopping entry still takes new connections: the
 	// balancer needs two questions a second apart to stop sending them.
 	handoffTime = 3 * time.Second
-	// stopMargin is left of the grace time for the end of the process.
-	stopMargin = 300 * time.Millisecond
+	// callerIdle is how long callers keep an idle connection. It is shorter than
+	// the handoff: when a stopping entry closes its idle connections, no caller
+	// sends on one any more.
+	callerIdle = 2 * time.Second
+	// stopMargin is left of the grace time for the end of the process, and
+	// answerMargin before that to send the final answers.
+	stopMargin   = 300 * time.Millisecond
+	answerMargin = 200 * time.Millisecond
+	// quietTime is how long no caller is connected before a stopping entry closes
+	// its listener: a caller that the balancer sent earlier connects within it,
+	// also when its first packet was lost on a link between data centres.
+	quietTime = 500 * time.Millisecond
+	// quietPoll is the time between two looks at the callers' connections.
+	quietPoll = 50 * time.Millisecond
 	// controlStop bounds the end of the calls of a control VM.
 	controlStop = 300 * time.Millisecond
 	// idleConnection is how long a caller's connection may stay idle. Callers use
@@ -118,13 +130,14 @@
 	return err
 }
 
-// listen serves a handler on an address until the process ends.
-func (p *process) listen(addr string, handler http.Handler) (*http.Server, error) {
+// listen serves a handler on an address until the process ends. note follows the
+// connections and may be nil.
+func (p *process) listen(addr string, handler http.Handler, note func(net.Conn, http.ConnState)) (*http.Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnection}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnection, ConnState: note}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.failed <- err
@@ -134,7 +147,7 @@
 }
 
 func (p *process) listenMetrics() (*http.Server, error) {
-	return p.listen(p.settings.MetricsAddr, promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	return p.listen(p.settings.MetricsAddr, promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}), nil)
 }
 
 // wait returns when the process is asked to stop or a server failed. It reloads
@@ -195,12 +208,13 @@
 		return cli.Exit(err, exitSettings)
 	}
 	defer g.Close()
-	ingress := &platform.Ingress{Gateway: g}
-	callers, err := p.listen(s.CallerAddr, ingress)
+	ingress := &platform.Ingress{Gateway: g, IdleTime: callerIdle}
+	connected := newConnections()
+	callers, err := p.listen(s.CallerAddr, ingress, connected.note)
 	if err != nil {
 		return err
 	}
-	ready, err := p.listen(s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Ready() && !ingress.Stopping.Load() }))
+	ready, err := p.listen(s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Ready() && !ingress.Stopping.Load() }), nil)
 	if err != nil {
 		return err
 	}
@@ -215,10 +229,25 @@
 	}
 	p.logger.Info("draining")
 	ingress.Stopping.Store(true)
-	stopCtx, cancel := context.WithTimeout(context.Background(), s.Grace-stopMargin)
-	defer cancel()
 	time.Sleep(min(handoffTime, s.Grace/2))
-	return ignoreDeadline(callers.Shutdown(stopCtx))
+	return drainCallers(g, callers, connected, s.Grace-min(handoffTime, s.Grace/2)-stopMargin)
+}
+
+// drainCallers ends the service of callers within a limit. The listener stays
+// open while callers are connected: closing it resets those that wait to be
+// accepted. Requests that come from now on are refused, and all others get their
+// final answer shortly before the limit.
+func drainCallers(g *gateway.Gateway, callers *http.Server, connected *connections, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	g.RefuseNew()
+	callers.SetKeepAlivesEnabled(false)
+	for connected.quiet() < quietTime && time.Until(end) > answerMargin {
+		time.Sleep(quietPoll)
+	}
+	g.EndService()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	return ignoreDeadline(callers.Shutdown(ctx))
 }
 
 // ignoreDeadline drops the error of a shutdown that ran out of its time: the
@@ -242,7 +271,7 @@
 		return cli.Exit(err, exitSettings)
 	}
 	defer c.Close()
-	calls, err := p.listen(s.ControlAddr, &platform.Calls{Control: c, Logger: p.logger})
+	calls, err := p.listen(s.ControlAddr, &platform.Calls{Control: c, Logger: p.logger}, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -20,6 +20,9 @@
 // choose returns the target for the next send and counts it as started.
 func (a *attempt) choose(ctx context.Context) (choice, *errkind.Error) {
 	for {
+		if a.g.stopping.over() {
+			return choice{}, errStopping()
+		}
 		a.g.mu.Lock()
 		changed := a.g.changed
 		c, failure := a.pick()
@@ -29,6 +32,7 @@
 		}
 		select {
 		case <-changed:
+		case <-a.g.stopping.service.Done():
 		case <-ctx.Done():
 			return choice{}, failure
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	samples map[string]*registry.Samples
 	rng     *rand.Rand
 
+	stopping   stopping
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
@@ -130,8 +131,8 @@
 		budgets: make(map[string]*budget), splits: make(map[string]*split),
 		works:   make(map[string]time.Duration),
 		subsets: make(map[string]map[string]bool),
-		samples: make(map[string]*registry.Samples),
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+		samples: make(map[string]*registry.Samples), stopping: newStopping(),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	g.view.Store(fleet.NewView())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -160,6 +161,7 @@
 func (g *Gateway) Close() {
 	g.closing.Lock()
 	g.cancel()
+	g.EndService()
 	g.closing.Unlock()
 	g.background.Wait()
 	_ = g.links.Close()
--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -46,6 +46,7 @@
 	select {
 	case <-changed:
 	case <-timer.C:
+	case <-a.g.stopping.service.Done():
 	case <-ctx.Done():
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -75,6 +75,9 @@
 func (g *Gateway) Serve(ctx context.Context, req *Request) Result {
 	view := g.view.Load()
 	now := g.now()
+	if g.stopping.refusing.Load() {
+		return g.refuse(errStopping())
+	}
 	if !view.Configured() {
 		return g.refuse(errkind.New(errkind.NoLease, "no configuration is known yet"))
 	}
@@ -100,6 +103,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.end-now)
 	defer cancel()
+	defer context.AfterFunc(g.stopping.service, cancel)()
 	result := a.run(ctx)
 	a.record(result, item.Version)
 	return result
@@ -180,7 +184,7 @@
 // mayRepeat reports whether the request may go to another target: it did not
 // run or may run more than once, and attempts, time and budget are left.
 func (a *attempt) mayRepeat(ctx context.Context, failure *errkind.Error) bool {
-	if ctx.Err() != nil || a.refusals >= maxRefusals {
+	if ctx.Err() != nil || a.g.stopping.over() || a.refusals >= maxRefusals {
 		return false
 	}
 	refused := failure.Kind == errkind.TargetRefused
