Treat a new connection that is reset as unreachable

Cause: targets with too many connections accept a new one and reset it. Ruled out: kept connections, whose loss says nothing about the request. Change: a new connection is watched for 2 ms before the request is written; a reset in that time counts as unreachable, needs no budget, and the target is left alone for 150 ms instead of being checked for its health. TestResetOfANewConnectionIsUnreachable fails without the change.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -40,6 +41,9 @@
 const (
 	// misdirectedPause is longer than the state takes to arrive.
 	misdirectedPause = 300 * time.Millisecond
+	// fullPause is about the time in which a target with a few slots ends some
+	// requests and accepts connections again.
+	fullPause = 150 * time.Millisecond
 	// failuresBeforeCheck is how many requests in a row fail before the target is
 	// used again only after a health check.
 	failuresBeforeCheck = 3
@@ -57,6 +61,10 @@
 	}
 	label := "answered"
 	switch {
+	case failure != nil && errors.Is(failure, upstream.ErrResetAtOnce):
+		label = "full"
+		c.track.Refused()
+		c.track.Block(now + fullPause)
 	case failure != nil:
 		label = string(failure.Kind)
 		unreachable := failure.Kind == errkind.TargetUnreachable
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
 
@@ -26,6 +27,11 @@
 	// dialTimeout bounds a new connection: a round trip between regions is 16 ms,
 	// and a lost packet is sent again after a second.
 	dialTimeout = 400 * time.Millisecond
+	// settleTime is how long a new connection is watched before a request is sent
+	// on it. A target that has too many connections resets a new one as soon as it
+	// has accepted it; a request that was written by then may have run, for all
+	// that the entry knows, and could not go elsewhere.
+	settleTime = 2 * time.Millisecond
 	// silentTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken. It covers two retransmissions of a lossy link.
 	silentTimeout = 1200 * time.Millisecond
@@ -42,6 +48,10 @@
 	MaxBody = 64 << 20
 )
 
+// ErrResetAtOnce is the cause of TargetUnreachable when a target accepted a
+// connection and reset it before a request was sent: it has too many.
+var ErrResetAtOnce = errors.New("the target reset the new connection")
+
 // Request is one request as it goes to a target.
 type Request struct {
 	// Addr is the target's address.
@@ -146,13 +156,21 @@
 		_ = c.nc.Close()
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return nil, ErrResetAtOnce
+	}
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	return &conn{nc: nc, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+	c := &conn{nc: nc, r: bufio.NewReaderSize(nc, readBuffer)}
+	if clock.Pause(ctx, settleTime); !c.quiet() {
+		_ = nc.Close()
+		return nil, ErrResetAtOnce
+	}
+	return c, nil
 }
 
 func (p *Pool) pop(addr string) *conn {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -168,6 +169,32 @@
 	wantKind(t, failure, errkind.TargetUnreachable)
 }
 
+// Guards against a request that counts as lost, and is not sent elsewhere, because
+// a target with too many connections resets new ones.
+func TestResetOfANewConnectionIsUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	for range 20 {
+		_, failure := NewPool().Do(context.Background(), &Request{Addr: listener.Addr().String(), Method: "POST", URI: "/", Host: "h"})
+		if failure == nil || failure.Kind != errkind.TargetUnreachable || !errors.Is(failure, ErrResetAtOnce) {
+			t.Fatalf("got %v, want %s because of a reset", failure, errkind.TargetUnreachable)
+		}
+	}
+}
+
 // Guards against work that goes on after the caller has left.
 func TestCancelClosesTheConnection(t *testing.T) {
 	closed := make(chan struct{})
