Take unknown targets for usual ones; model of the targets for experiments

Cause: a target that an entry had not used looked empty, so that under load most requests went to targets outside of the entry's subset and of its region, where they queued as long, cost bytes between regions and opened a connection each. Change: the mean reported load and slowdown of a service's targets stand in for what is not known of one. A target outside of the subset costs 100 ms, not 60. Package experiment replays whole deployments (slots, speeds, noisy neighbours, distances, connections, outages) through the decisions in virtual time; `flamingoreelbench experiment` writes its table and a plot.

--- a/cmd/flamingoreelbench/main.go
+++ b/cmd/flamingoreelbench/main.go
@@ -45,7 +45,8 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of keys and entries", Sources: env("seed")},
 			&cli.StringFlag{Name: "journals", Usage: "journals of the targets for the audit, separated by commas", Sources: env("journals")},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{experimentCommand()},
 	}
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -134,12 +134,22 @@
 func (g *Gateway) track(e *fleet.Endpoint) *tracked {
 	t := g.tracks[e.Incarnation]
 	if t == nil {
-		t = new(tracked)
+		t = &tracked{Track: placement.Track{Norm: g.norm(e.Service)}}
 		g.tracks[e.Incarnation] = t
 	}
 	return t
 }
 
+// norm returns what targets of a service usually report; the mutex is held.
+func (g *Gateway) norm(service string) *placement.Norm {
+	n := g.norms[service]
+	if n == nil {
+		n = new(placement.Norm)
+		g.norms[service] = n
+	}
+	return n
+}
+
 func (g *Gateway) distance(dataCentre string) placement.Distance {
 	switch {
 	case dataCentre == g.cfg.DataCentre:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,8 @@
 	// changed is closed and replaced with each view.
 	changed chan struct{}
 	tracks  map[fleet.Incarnation]*tracked
+	// norms is what the targets of each service usually report.
+	norms   map[string]*placement.Norm
 	budgets map[string]*budget
 	splits  map[string]*split
 	// subsets holds the preferred targets of each service under the present view.
@@ -128,6 +130,7 @@
 		cfg: cfg, clock: clock.Start(), links: links, pool: upstream.NewPool(),
 		metrics: newMetrics(cfg.Registry), changed: make(chan struct{}),
 		tracks:  make(map[fleet.Incarnation]*tracked),
+		norms:   make(map[string]*placement.Norm),
 		budgets: make(map[string]*budget), splits: make(map[string]*split),
 		works:   make(map[string]time.Duration),
 		subsets: make(map[string]map[string]bool),
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,7 +26,7 @@
 	distantCost = 250 * time.Millisecond
 	// outsideCost is for targets outside of the entry's subset: their load is not
 	// known well, and they mostly need a new connection.
-	outsideCost = 60 * time.Millisecond
+	outsideCost = 100 * time.Millisecond
 )
 
 // Figures of the estimate.
@@ -64,6 +64,10 @@
 
 // Track is what an entry knows of one target from its own requests.
 type Track struct {
+	// Norm is what targets of the service usually report; nil knows nothing.
+	Norm *Norm
+	// reports counts the loads that the target reported.
+	reports int
 	// InFlight is the number of own requests at the target.
 	InFlight int
 	// used says that the target got a request before.
@@ -101,6 +105,11 @@
 // request is no longer in flight.
 func (t *Track) Report(now time.Duration, l Load) {
 	t.others = math.Max(0, float64(l.Running+l.Waiting-t.InFlight))
+	t.Norm.take(t.others, l.Slowdown)
+	if t.reports == 0 {
+		t.usual = t.Norm.load()
+	}
+	t.reports++
 	t.usual += loadShare * (t.others - t.usual)
 	t.reportAt = now
 	if l.Slowdown <= 0 {
@@ -171,6 +180,9 @@
 // total is the estimated number of requests at the target. A report loses its
 // weight to the usual load as it ages.
 func (t *Track) total(now time.Duration) float64 {
+	if t.reports == 0 {
+		return float64(t.InFlight) + t.Norm.load()
+	}
 	fresh := math.Exp2(-float64(now-t.reportAt) / float64(reportHalfLife))
 	return float64(t.InFlight) + t.usual + fresh*(t.others-t.usual)
 }
@@ -179,7 +191,7 @@
 // usual one as it ages.
 func (t *Track) slowness(now time.Duration) float64 {
 	if t.usualSlowdown == 0 {
-		return 1
+		return t.Norm.slow()
 	}
 	fresh := math.Exp2(-float64(now-t.reportAt) / float64(slowdownHalfLife))
 	return t.usualSlowdown + fresh*(t.slowdown-t.usualSlowdown)
