Deal keys out in small rows and take the load of that off the leader

Busy keys are close to one another, and each target held one range, so that all of them queued at one target until rows had moved, which takes two heartbeats. Ruled out: slow moves (a move of 200 keys takes under 2 s, a busy spell 5 s). Change: 16 rows a target, dealt out in turn; a target that joins gets rows from the most loaded ones; balancing goes on while some rows move.

--- /dev/null
+++ b/internal/controller/beat.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/apex/log"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/registry"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
+)
+
+// beatRequest is a heartbeat on its way to the leader.
+type beatRequest struct {
+	Beat registry.Beat `msgpack:"b"`
+	// Shard is the revision of the division of keys that the asking VM knows; 0
+	// for none.
+	Shard uint64 `msgpack:"s"`
+}
+
+// beatAnswer is the leader's answer to a heartbeat.
+type beatAnswer struct {
+	Grant registry.Grant `msgpack:"g"`
+	// Known says that the rows of the grant are left out: they are those of the
+	// revision that the asking VM named. A target holds dozens of rows, and most
+	// heartbeats cross regions.
+	Known bool `msgpack:"k"`
+}
+
+// localView is what this VM's own state says of a target.
+type localView struct {
+	// nothingNew says that the heartbeat need not reach the leader.
+	nothingNew bool
+	// revision is that of the division of the target's service, rows what the
+	// target is to hold by it.
+	revision uint64
+	rows     []fleet.Row
+}
+
+// localView looks up a target in the state of this VM.
+func (c *Controller) localView(ctx context.Context, b registry.Beat) (localView, *errkind.Error) {
+	views := make(chan localView, 1)
+	c.loop.post(ctx, func() {
+		shard, _ := c.loop.state.Shard(b.Target.Service)
+		views <- localView{
+			nothingNew: c.loop.nothingNew(b), revision: shard.Revision, rows: registry.Held(shard, b.Target.Incarnation),
+		}
+	})
+	return await(ctx, views)
+}
+
+// beatResult is an answer, or why there is none.
+type beatResult struct {
+	answer beatAnswer
+	// done, if set, gets the result of the command that must be committed before
+	// the heartbeat is acknowledged.
+	done <-chan *errkind.Error
+	err  *errkind.Error
+}
+
+// leadBeat handles a heartbeat as the leader. That a target stops taking work is
+// acknowledged only once it is committed, because the acknowledgement binds all
+// entries.
+func (c *Controller) leadBeat(ctx context.Context, payload []byte) ([]byte, error) {
+	var req beatRequest
+	if err := wire.Unmarshal(payload, &req); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "heartbeat cannot be read")
+	}
+	results := make(chan beatResult, 1)
+	c.loop.post(ctx, func() { results <- c.loop.beat(req) })
+	r, failure := await(ctx, results)
+	if failure != nil {
+		return nil, failure
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	if r.done != nil {
+		committed, failure := await(ctx, r.done)
+		if failure != nil {
+			return nil, failure
+		}
+		if committed != nil {
+			return nil, committed
+		}
+	}
+	return wire.Marshal(&r.answer)
+}
+
+// beat runs on the control goroutine.
+func (l *loop) beat(req beatRequest) beatResult {
+	now := l.c.now()
+	if !l.leading(now) {
+		return beatResult{err: errNotLeading}
+	}
+	b := req.Beat
+	if b.Target.Condition >= fleet.Left {
+		known, ok := l.state.Target(b.Target.ID)
+		if !ok || b.Target.Born != 0 && known.Born != b.Target.Born {
+			return beatResult{}
+		}
+		known.Condition, known.ColdFor = fleet.Left, 0
+		b.Target = known
+	}
+	grant, commands := l.registry.Beat(now, l.state, b)
+	result := beatResult{answer: l.shorten(grant, b.Target.Service, req.Shard)}
+	for _, cmd := range commands {
+		var done chan *errkind.Error
+		if len(cmd.Targets) > 0 {
+			t := cmd.Targets[0]
+			l.logger.WithFields(log.Fields{
+				"target": t.ID, "service": t.Service, "address": t.Address, "condition": t.Condition.String(), "cold_for": t.ColdFor,
+			}).Info("target changed")
+			if t.Condition > fleet.Ready {
+				done = make(chan *errkind.Error, 1)
+				result.done = done
+			}
+		}
+		l.propose(now, cmd, done)
+	}
+	return result
+}
+
+// shorten leaves out rows that the asking VM has at the same revision.
+func (l *loop) shorten(grant registry.Grant, service string, known uint64) beatAnswer {
+	shard, _ := l.state.Shard(service)
+	if !grant.Renew || known == 0 || shard.Revision != known {
+		return beatAnswer{Grant: grant}
+	}
+	grant.Rows = nil
+	return beatAnswer{Grant: grant, Known: true}
+}
+
+// nothingNew reports whether a heartbeat repeats what the state holds of a
+// target that gets no keys. Such heartbeats need not reach the leader.
+func (l *loop) nothingNew(b registry.Beat) bool {
+	t, ok := l.state.Target(b.Target.ID)
+	service, standing := l.state.Items().Get(items.Key{Collection: items.Services, Name: b.Target.Service})
+	return ok && standing && !service.Service.Sharded && b.Target.ColdFor == 0 && t.ColdFor == 0 &&
+		b.Target.Condition == fleet.Ready && t.Condition == fleet.Ready &&
+		t.Incarnation == b.Target.Incarnation && t.Service == b.Target.Service &&
+		t.Address == b.Target.Address && t.Slots == b.Target.Slots
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -162,12 +162,11 @@
 func (c *Controller) Beat(ctx context.Context, b registry.Beat) (registry.Grant, *errkind.Error) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	known := make(chan bool, 1)
-	c.loop.post(ctx, func() { known <- c.loop.nothingNew(b) })
-	if same, failure := await(ctx, known); failure == nil && same {
+	local, failure := c.localView(ctx, b)
+	if failure == nil && local.nothingNew {
 		return registry.Grant{}, nil
 	}
-	payload, err := wire.Marshal(&b)
+	payload, err := wire.Marshal(&beatRequest{Beat: b.Settled(), Shard: local.revision})
 	if err != nil {
 		return registry.Grant{}, errkind.From(err)
 	}
@@ -175,11 +174,14 @@
 	if failure != nil {
 		return registry.Grant{}, failure
 	}
-	var grant registry.Grant
-	if err := wire.Unmarshal(data, &grant); err != nil {
+	var answer beatAnswer
+	if err := wire.Unmarshal(data, &answer); err != nil {
 		return registry.Grant{}, errkind.From(err)
 	}
-	return grant, nil
+	if answer.Known {
+		answer.Grant.Rows = local.rows
+	}
+	return answer.Grant, nil
 }
 
 // Nearer returns where a target of a data centre should send its heartbeats, or
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -30,88 +30,6 @@
 	}
 }
 
-// beatResult is a grant, or why there is none.
-type beatResult struct {
-	grant registry.Grant
-	// done, if set, gets the result of the command that must be committed before
-	// the heartbeat is acknowledged.
-	done <-chan *errkind.Error
-	err  *errkind.Error
-}
-
-// leadBeat handles a heartbeat as the leader. That a target stops taking work is
-// acknowledged only once it is committed, because the acknowledgement binds all
-// entries.
-func (c *Controller) leadBeat(ctx context.Context, payload []byte) ([]byte, error) {
-	var b registry.Beat
-	if err := wire.Unmarshal(payload, &b); err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "heartbeat cannot be read")
-	}
-	results := make(chan beatResult, 1)
-	c.loop.post(ctx, func() { results <- c.loop.beat(b) })
-	r, failure := await(ctx, results)
-	if failure != nil {
-		return nil, failure
-	}
-	if r.err != nil {
-		return nil, r.err
-	}
-	if r.done != nil {
-		committed, failure := await(ctx, r.done)
-		if failure != nil {
-			return nil, failure
-		}
-		if committed != nil {
-			return nil, committed
-		}
-	}
-	return wire.Marshal(&r.grant)
-}
-
-// beat runs on the control goroutine.
-func (l *loop) beat(b registry.Beat) beatResult {
-	now := l.c.now()
-	if !l.leading(now) {
-		return beatResult{err: errNotLeading}
-	}
-	if b.Target.Condition >= fleet.Left {
-		known, ok := l.state.Target(b.Target.ID)
-		if !ok || b.Target.Born != 0 && known.Born != b.Target.Born {
-			return beatResult{}
-		}
-		known.Condition, known.ColdFor = fleet.Left, 0
-		b.Target = known
-	}
-	grant, commands := l.registry.Beat(now, l.state, b)
-	result := beatResult{grant: grant}
-	for _, cmd := range commands {
-		var done chan *errkind.Error
-		if len(cmd.Targets) > 0 {
-			t := cmd.Targets[0]
-			l.logger.WithFields(log.Fields{
-				"target": t.ID, "service": t.Service, "address": t.Address, "condition": t.Condition.String(), "cold_for": t.ColdFor,
-			}).Info("target changed")
-			if t.Condition > fleet.Ready {
-				done = make(chan *errkind.Error, 1)
-				result.done = done
-			}
-		}
-		l.propose(now, cmd, done)
-	}
-	return result
-}
-
-// nothingNew reports whether a heartbeat repeats what the state holds of a
-// target that gets no keys. Such heartbeats need not reach the leader.
-func (l *loop) nothingNew(b registry.Beat) bool {
-	t, ok := l.state.Target(b.Target.ID)
-	service, standing := l.state.Items().Get(items.Key{Collection: items.Services, Name: b.Target.Service})
-	return ok && standing && !service.Service.Sharded && b.Target.ColdFor == 0 && t.ColdFor == 0 &&
-		b.Target.Condition == fleet.Ready && t.Condition == fleet.Ready &&
-		t.Incarnation == b.Target.Incarnation && t.Service == b.Target.Service &&
-		t.Address == b.Target.Address && t.Slots == b.Target.Slots
-}
-
 // leadChange commits a change of the operators as the leader.
 func (c *Controller) leadChange(ctx context.Context, payload []byte) ([]byte, error) {
 	var cmd fleet.Command
@@ -182,6 +100,11 @@
 	return wire.Marshal(r.all)
 }
 
+// batchTime is how long an answer with news waits for more. Keys move in series
+// of changes, and each answer costs every entry a message and a new view; an
+// entry whose target lost a key waits 120 ms for news.
+const batchTime = 30 * time.Millisecond
+
 // watchReceived answers an entry once there is something new or the wait ends.
 func (c *Controller) watchReceived(ctx context.Context, _ string, payload []byte) ([]byte, error) {
 	var req watch.Request
@@ -201,6 +124,7 @@
 		}
 		select {
 		case <-changed:
+			clock.Pause(ctx, batchTime)
 		case <-timer.C:
 			return watch.Encode(&answer)
 		case <-ctx.Done():
@@ -272,6 +196,17 @@
 	changed <-chan struct{}
 }
 
+// since returns what changed after a revision. Most entries ask from the same
+// revision, so that a result is kept until the state changes.
+func (l *loop) since(revision uint64) fleet.Delta {
+	d, ok := l.deltas[revision]
+	if !ok {
+		d = l.state.Since(revision)
+		l.deltas[revision] = d
+	}
+	return d
+}
+
 // look returns what an entry lacks and a channel that closes at the next change.
 func (c *Controller) look(ctx context.Context, req watch.Request) (watch.Answer, <-chan struct{}, *errkind.Error) {
 	results := make(chan looked, 1)
@@ -288,7 +223,7 @@
 			return
 		}
 		if l.state.Revision() >= req.Revision {
-			a.Delta = l.state.Since(req.Revision)
+			a.Delta = l.since(req.Revision)
 		} else {
 			a.Delta = fleet.Delta{From: req.Revision, To: req.Revision}
 		}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -57,6 +57,8 @@
 	compacted uint64
 	// changed is closed and replaced whenever the state changes.
 	changed chan struct{}
+	// deltas holds what changed after each revision that was asked for.
+	deltas map[uint64]fleet.Delta
 
 	registry *registry.Registry
 	// shortSince is when fewer replicas began to vote than the tolerated losses
@@ -82,7 +84,7 @@
 	return &loop{
 		c: c, logger: c.cfg.Logger,
 		events: make(chan func(), eventQueue), ended: make(chan struct{}),
-		state: fleet.NewState(), changed: make(chan struct{}),
+		state: fleet.NewState(), changed: make(chan struct{}), deltas: make(map[uint64]fleet.Delta),
 		candidates: make(map[string]candidate), waiting: make(map[uint64]proposal), entrySeen: make(map[string]time.Duration),
 	}
 }
@@ -350,6 +352,7 @@
 		l.logger.WithError(err).Warn("data directory not closed")
 	}
 	l.state, l.applied, l.compacted, l.fresh = fleet.NewState(), 0, 0, freshness{}
+	clear(l.deltas)
 	if err := l.open(); err != nil {
 		l.logger.WithError(err).Warn("storage still fails")
 		return
@@ -415,6 +418,7 @@
 
 // notify wakes the watches.
 func (l *loop) notify() {
+	clear(l.deltas)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -157,21 +157,39 @@
 	}
 }
 
-// applyShard changes rows of a service if the plan was made from the rows that
-// stand and the result covers all keys.
+// applyShard changes rows of a service if those that the plan was made from stand
+// and the result covers all keys. Other rows may have changed meanwhile: holders
+// learn of their rows all the time.
 func (s *State) applyShard(index uint64, change ShardChange) {
 	held := s.shards[change.Shard.Service]
+	if changedSince(held.Rows, change.Shard.Rows, change.Base) || change.Shard.LastFence < held.LastFence {
+		return
+	}
 	for i := range change.Shard.Rows {
 		change.Shard.Rows[i].Revision = index
 	}
 	rows := overlay(held.Rows, change.Shard.Rows)
-	if held.Revision != change.Base || !wellFormed(rows) || change.Shard.LastFence < held.LastFence {
+	if !wellFormed(rows) {
 		return
 	}
 	change.Shard.Rows, change.Shard.Revision = rows, index
 	s.shards[change.Shard.Service] = change.Shard
 }
 
+// changedSince reports whether any row that others overlap changed after a
+// revision. Both lists are ascending.
+func changedSince(rows, others []Row, revision uint64) bool {
+	for _, row := range rows {
+		for len(others) > 0 && others[0].To < row.From {
+			others = others[1:]
+		}
+		if len(others) > 0 && others[0].From <= row.To && row.Revision > revision {
+			return true
+		}
+	}
+	return false
+}
+
 // applyTold marks the rows that still stand as they were when the holder was
 // told.
 func (s *State) applyTold(index uint64, told Told) {
@@ -212,20 +230,19 @@
 // Since returns what changed after a revision.
 func (s *State) Since(revision uint64) Delta {
 	d := Delta{From: revision, To: s.revision}
-	for _, item := range s.items.All() {
-		if item.Revision > revision {
-			item.Source = nil
-			d.Items = append(d.Items, item)
-		}
+	d.Items = s.items.Since(revision)
+	for i := range d.Items {
+		d.Items[i].Source = nil
 	}
-	for _, t := range s.Targets() {
+	for _, t := range s.targets {
 		if t.Revision > revision && (revision > 0 || t.Condition < Left) {
 			d.Targets = append(d.Targets, t)
 		}
 	}
+	slices.SortFunc(d.Targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	for _, sh := range s.shards {
 		if sh.Revision > revision {
-			sh.Rows = slices.DeleteFunc(slices.Clone(sh.Rows), func(r Row) bool { return r.Revision <= revision })
+			sh.Rows = rowsSince(sh.Rows, revision)
 			d.Shards = append(d.Shards, sh)
 		}
 	}
@@ -242,6 +259,18 @@
 	return d
 }
 
+// rowsSince returns the rows that changed after a revision. It copies only
+// these: a service has thousands of rows, and every entry asks after each change.
+func rowsSince(rows []Row, revision uint64) []Row {
+	var changed []Row
+	for i := range rows {
+		if rows[i].Revision > revision {
+			changed = append(changed, rows[i])
+		}
+	}
+	return changed
+}
+
 // image is the encoded form of a State.
 type image struct {
 	Revision    uint64       `msgpack:"v"`
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -5,7 +5,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -129,8 +128,9 @@
 	Entries    []Entry      `msgpack:"e,omitempty"`
 }
 
-// ShardChange lays rows over those of a service if the shard is still at
-// revision Base, so that a plan made from an older state has no effect.
+// ShardChange lays rows over those of a service if none of the rows that they
+// cover changed after revision Base, so that a plan made from older rows has no
+// effect.
 type ShardChange struct {
 	Base  uint64 `msgpack:"b"`
 	Shard Shard  `msgpack:"s"`
@@ -138,16 +138,20 @@
 
 // overlay returns rows with others laid over them: where they overlap, the
 // others stand. A changed row comes with all rows that it was cut from.
+//
+// Both must be ascending and without overlaps; the result is ascending.
 func overlay(rows, over []Row) []Row {
-	out := slices.Clone(over)
+	out := make([]Row, 0, len(rows)+len(over))
 	for _, row := range rows {
-		covered := slices.ContainsFunc(over, func(o Row) bool { return o.From <= row.To && o.To >= row.From })
-		if !covered {
+		for len(over) > 0 && over[0].To < row.From {
+			out = append(out, over[0])
+			over = over[1:]
+		}
+		if len(over) == 0 || over[0].From > row.To {
 			out = append(out, row)
 		}
 	}
-	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.From, b.From) })
-	return out
+	return append(out, over...)
 }
 
 // Changed returns the rows of next that rows does not have.
--- a/internal/items/set.go
+++ b/internal/items/set.go
@@ -42,10 +42,27 @@
 	for _, item := range s.items {
 		all = append(all, item)
 	}
-	slices.SortFunc(all, func(a, b Item) int {
+	sortItems(all)
+	return all
+}
+
+// Since returns the items that changed after a revision, dropped ones included,
+// in the order of All.
+func (s *Set) Since(revision uint64) []Item {
+	var changed []Item
+	for _, item := range s.items {
+		if item.Revision > revision {
+			changed = append(changed, item)
+		}
+	}
+	sortItems(changed)
+	return changed
+}
+
+func sortItems(list []Item) {
+	slices.SortFunc(list, func(a, b Item) int {
 		return cmp.Or(cmp.Compare(a.Collection, b.Collection), cmp.Compare(a.Name, b.Name))
 	})
-	return all
 }
 
 // Apply puts the items of a patch in force that are newer than those held. It
--- a/internal/registry/demand.go
+++ b/internal/registry/demand.go
@@ -61,9 +61,12 @@
 	firstWindow = time.Second
 	// maxPieces bounds the rows that one balancing move touches.
 	maxPieces = 12
-	// rowsPerTarget bounds the rows of a service, and with them the answers to
-	// heartbeats, which may have 4 KiB.
-	rowsPerTarget = 8
+	// maxHeld bounds the rows that balancing gives to one target: the answer to a
+	// heartbeat may have 4 KiB, and a row with its handover takes 42 bytes.
+	maxHeld = 88
+	// maxMoving bounds the rows that are on their way when another balancing move
+	// begins. The demand for them is counted where they go.
+	maxMoving = 48
 	// workShare is the weight of a new observation of a target's work.
 	workShare = 0.3
 	// defaultWork is assumed for targets that no entry has measured.
@@ -129,6 +132,8 @@
 	work  map[fleet.Incarnation]time.Duration
 	rate  map[fleet.Incarnation]float64
 	count map[fleet.Incarnation]int
+	// held is the number of rows that each target is to hold.
+	held map[fleet.Incarnation]int
 }
 
 // usage is the utilisation of a target with more requests than it has now.
@@ -162,14 +167,9 @@
 // to those that are least busy. It reports whether it changed a row.
 func (r *Registry) balance(now time.Duration, s *fleet.State, shard *fleet.Shard, usable []fleet.Incarnation) bool {
 	d := r.demand[shard.Service]
-	if d == nil || now-d.balanced < balanceInterval || len(usable) < 2 || len(shard.Rows) >= rowsPerTarget*len(usable) {
+	if d == nil || now-d.balanced < balanceInterval || len(usable) < 2 || unsettled(shard) > maxMoving {
 		return false
 	}
-	for _, row := range shard.Rows {
-		if row.Moving() || !row.Granted {
-			return false
-		}
-	}
 	d.expire(now)
 	sc := newScale(now, d, s, shard, usable)
 	d.usage = make(map[fleet.Incarnation]float64, len(usable))
@@ -189,6 +189,18 @@
 	return changed
 }
 
+// unsettled counts the rows that are on their way or that their holder has not
+// been told of.
+func unsettled(shard *fleet.Shard) int {
+	count := 0
+	for _, row := range shard.Rows {
+		if row.Moving() || !row.Granted {
+			count++
+		}
+	}
+	return count
+}
+
 // Usage returns the utilisation of a target at the last look: the requests of a
 // second times the work of one, divided by the slots.
 func (r *Registry) Usage(service string, in fleet.Incarnation) float64 {
@@ -202,6 +214,7 @@
 	sc := &scale{
 		keys: d.sortedKeys(), work: make(map[fleet.Incarnation]time.Duration),
 		rate: make(map[fleet.Incarnation]float64), count: make(map[fleet.Incarnation]int),
+		held: make(map[fleet.Incarnation]int),
 	}
 	window := max(firstWindow, min(sampleWindow, now-d.began))
 	for _, in := range usable {
@@ -214,7 +227,12 @@
 		sc.rate[in] = work.Seconds() / float64(max(t.Slots, 1)) / window.Seconds()
 	}
 	for _, row := range shard.Rows {
-		sc.count[row.Holder] += len(sc.within(row))
+		holder := row.Holder
+		if row.Moving() {
+			holder = row.Next
+		}
+		sc.count[holder] += len(sc.within(row))
+		sc.held[holder]++
 	}
 	return sc
 }
@@ -253,7 +271,7 @@
 // belongs to the fastest target that has room.
 func (sc *scale) moveHotKey(shard *fleet.Shard, usable []fleet.Incarnation, from fleet.Incarnation) bool {
 	for i, row := range shard.Rows {
-		if row.Holder != from || row.Moving() {
+		if row.Holder != from || row.Moving() || !row.Granted {
 			continue
 		}
 		key, samples := mode(sc.within(row))
@@ -295,7 +313,7 @@
 	limit := time.Duration(float64(sc.latency(from, 0)) / moveRatio)
 	best, most := from, 0
 	for _, to := range usable {
-		if to == from {
+		if to == from || sc.held[to] >= maxHeld {
 			continue
 		}
 		n := sort.Search(sc.count[from], func(n int) bool {
@@ -320,7 +338,7 @@
 func (sc *scale) cut(shard *fleet.Shard, from, to fleet.Incarnation, wanted int) bool {
 	best := piece{row: -1}
 	for i, row := range shard.Rows {
-		if row.Holder != from || row.Moving() {
+		if row.Holder != from || row.Moving() || !row.Granted {
 			continue
 		}
 		for _, p := range sc.pieces(row, wanted) {
@@ -348,6 +366,7 @@
 	shard.Rows[i].Next = to
 	sc.count[from] -= p.samples
 	sc.count[to] += p.samples
+	sc.held[to]++
 }
 
 // pieces returns the parts at both ends of a row, and the whole row, that have
--- a/internal/registry/owner_test.go
+++ b/internal/registry/owner_test.go
@@ -106,6 +106,9 @@
 		b.Target.Condition = fleet.Draining
 	}
 	b.Released = slices.Clone(h.released)
+	for _, row := range h.rows {
+		b.Held = append(b.Held, Range{From: row.From, To: row.To})
+	}
 	w.calls = append(w.calls, call{h, w.now, w.now + w.delay(), b})
 }
 
@@ -239,6 +242,9 @@
 		for i := range simTargets {
 			w.targets = append(w.targets, &holder{in: fleet.Incarnation{ID: fmt.Sprint(i), Born: 1}, pace: 1 + 0.02*w.rng.Float64()})
 		}
+		if seed%2 == 0 {
+			w.leader.reg.parts = 8
+		}
 		held := 0
 		for w.now < simLength {
 			w.step()
--- a/internal/registry/plan.go
+++ b/internal/registry/plan.go
@@ -13,6 +13,20 @@
 // proposed: two round trips between regions and two syncs of a slow disk.
 const proposalTimeout = 500 * time.Millisecond
 
+// commitTime is how long a proposal usually takes to be committed: a round trip
+// between regions and the syncs of two disks. Until then the rows still look as
+// if the change were due.
+const commitTime = 120 * time.Millisecond
+
+// wait is how long no further change is proposed after a proposal when a shard
+// is at a revision.
+func (p proposal) wait(revision uint64) time.Duration {
+	if revision == p.base {
+		return proposalTimeout
+	}
+	return commitTime
+}
+
 // Plan returns the shard changes that are due.
 func (r *Registry) Plan(now time.Duration, s *fleet.State) []fleet.Command {
 	var commands []fleet.Command
@@ -29,7 +43,7 @@
 
 func (r *Registry) planService(now time.Duration, s *fleet.State, service string) *fleet.ShardChange {
 	shard, ok := s.Shard(service)
-	if p, waiting := r.proposed[service]; waiting && p.base == shard.Revision && now-p.at < proposalTimeout {
+	if p, waiting := r.proposed[service]; waiting && now-p.at < p.wait(shard.Revision) {
 		return nil
 	}
 	usable := r.usable(now, s, service)
@@ -41,7 +55,7 @@
 		if first, heard := r.seen[service]; !heard || now-first < settleTime {
 			return nil
 		}
-		divide(&next, usable)
+		divide(&next, usable, r.parts)
 	} else if !r.revise(now, s, &next, usable) {
 		return nil
 	}
@@ -73,15 +87,31 @@
 	return list
 }
 
-// divide gives each target an equal range of keys.
-func divide(shard *fleet.Shard, targets []fleet.Incarnation) {
+// Figures of the first division.
+const (
+	// divisionRows is the number of rows into which the keys of a service are cut.
+	// Busy keys are close to one another: 200 of 65,536 then lie in a dozen rows.
+	// Each row takes about 90 bytes of the state that entries follow.
+	divisionRows = 2048
+	// maxParts bounds the rows of one target at first, so that the answer to its
+	// heartbeat has room for rows that come later.
+	maxParts = 16
+)
+
+// divide cuts the keys into rows of about the same size and deals them out in
+// turn, so that neighbouring rows have different holders. parts is the number of
+// rows of each target, or 0 for the usual number.
+func divide(shard *fleet.Shard, targets []fleet.Incarnation, parts int) {
 	shard.Rows = nil
-	count := len(targets)
-	for i, in := range targets {
+	if parts == 0 {
+		parts = min(max(divisionRows/len(targets), 1), maxParts)
+	}
+	count := parts * len(targets)
+	for i := range count {
 		shard.LastFence++
 		shard.Rows = append(shard.Rows, fleet.Row{
 			From: i * (fleet.MaxKey + 1) / count, To: (i+1)*(fleet.MaxKey+1)/count - 1,
-			Fence: shard.LastFence, Holder: in,
+			Fence: shard.LastFence, Holder: targets[i%len(targets)],
 		})
 	}
 }
@@ -157,31 +187,68 @@
 	*row = fleet.Row{From: row.From, To: row.To, Fence: shard.LastFence, Holder: next, Handover: handover}
 }
 
-// share gives half of the largest row of the most loaded target to each target
-// that has no keys.
+// joinShare is the part of an equal share of the keys that a target without
+// keys gets at once; the balance by demand does the rest.
+const joinShare = 0.75
+
+// share gives rows of the most loaded targets to each target that has no keys.
+// It reports whether it changed any.
 func (r *Registry) share(shard *fleet.Shard, load map[fleet.Incarnation]int) bool {
+	wanted := int(joinShare * float64(fleet.MaxKey+1) / float64(max(len(load), 1)))
 	changed := false
 	for _, in := range sorted(load) {
 		if load[in] > 0 {
 			continue
 		}
-		i := largestRow(shard, load)
-		if i < 0 {
-			return changed
+		for load[in] < wanted {
+			i := largestRow(shard, load)
+			if i < 0 {
+				return changed
+			}
+			load[shard.Rows[i].Holder] -= give(shard, i, in, wanted-load[in])
+			load[in] = movingTo(shard, in)
+			changed = true
 		}
-		row := shard.Rows[i]
-		middle := (row.From + row.To + 1) / 2
-		moved := row
-		moved.From, moved.Next = middle, in
-		shard.Rows[i].To = middle - 1
-		shard.Rows = slices.Insert(shard.Rows, i+1, moved)
-		load[in] += moved.To - moved.From + 1
-		load[row.Holder] -= moved.To - moved.From + 1
-		changed = true
 	}
 	return changed
 }
 
+// give marks a settled row, or as much of its end as is wanted, for a target. A
+// row is never given whole when its holder would be left without keys. It
+// returns the number of keys.
+func give(shard *fleet.Shard, i int, to fleet.Incarnation, wanted int) int {
+	row := &shard.Rows[i]
+	size := row.To - row.From + 1
+	if part := min(wanted, (size+1)/2); size > wanted || rowsOf(shard, row.Holder) == 1 {
+		i = splitRow(shard, i, row.To+1-part) + 1
+		size = part
+	}
+	shard.Rows[i].Next = to
+	return size
+}
+
+// rowsOf counts the rows that a target holds and keeps.
+func rowsOf(shard *fleet.Shard, in fleet.Incarnation) int {
+	count := 0
+	for _, row := range shard.Rows {
+		if row.Holder == in && !row.Moving() {
+			count++
+		}
+	}
+	return count
+}
+
+// movingTo counts the keys that are on their way to a target.
+func movingTo(shard *fleet.Shard, in fleet.Incarnation) int {
+	keys := 0
+	for _, row := range shard.Rows {
+		if row.Next == in {
+			keys += row.To - row.From + 1
+		}
+	}
+	return keys
+}
+
 // largestRow returns the index of the largest settled row of the most loaded
 // target, or -1.
 func largestRow(shard *fleet.Shard, load map[fleet.Incarnation]int) int {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,7 @@
 package registry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
@@ -43,6 +44,30 @@
 	// Seq grows with each heartbeat of an incarnation.
 	Seq      int64      `msgpack:"s"`
 	Released []Released `msgpack:"r"`
+	// Held are the rows that the target holds or works on.
+	Held []Range `msgpack:"h,omitempty"`
+}
+
+// Range is a range of keys, both ends included.
+type Range struct {
+	From int `msgpack:"f"`
+	To   int `msgpack:"t"`
+}
+
+// Settled returns the heartbeat without the releases of rows that the target
+// holds again, and without the rows that it holds. Answers may overtake each
+// other: a target that released a row can get an earlier answer that grants it.
+// It releases the row once more when it is told to.
+func (b Beat) Settled() Beat {
+	var released []Released
+	for _, rel := range b.Released {
+		again := slices.ContainsFunc(b.Held, func(h Range) bool { return h.From <= rel.To && h.To >= rel.From })
+		if !again {
+			released = append(released, rel)
+		}
+	}
+	b.Released, b.Held = released, nil
+	return b
 }
 
 // Grant is the answer to a heartbeat: everything that the target is to hold.
@@ -78,7 +103,10 @@
 
 // Registry holds the contacts of one term of leadership.
 type Registry struct {
-	elected  time.Duration
+	elected time.Duration
+	// parts is the number of rows of each target at the first division; 0 stands
+	// for the usual number.
+	parts    int
 	contacts map[fleet.Incarnation]*contact
 	// proposed is when a shard change was proposed for a service, and on which
 	// revision.
@@ -156,7 +184,7 @@
 	if !sharded || !ok || known.Born != b.Target.Born {
 		return Grant{}, commands
 	}
-	r.noteReleased(shard, b)
+	r.noteReleased(shard, b.Settled())
 	grant, told := r.grant(now, c, shard, b.Target.Incarnation)
 	if len(told.Rows) > 0 {
 		commands = append(commands, fleet.Command{Told: &told})
@@ -197,18 +225,23 @@
 	return fleet.Command{Targets: []fleet.Target{t}}, true
 }
 
+// Held returns the rows that an incarnation is to hold.
+func Held(shard fleet.Shard, in fleet.Incarnation) []fleet.Row {
+	var rows []fleet.Row
+	for _, row := range shard.Rows {
+		if row.Holder == in && !row.Moving() {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // grant returns what an incarnation is to hold, and what it learns by that.
 func (r *Registry) grant(now time.Duration, c *contact, shard fleet.Shard, in fleet.Incarnation) (Grant, fleet.Told) {
-	g := Grant{Renew: true, Hold: MaxHold}
+	g := Grant{Renew: true, Hold: MaxHold, Rows: Held(shard, in)}
 	told := fleet.Told{Service: shard.Service, Holder: in}
 	for _, row := range shard.Rows {
-		if row.Holder != in {
-			continue
-		}
-		if !row.Moving() {
-			g.Rows = append(g.Rows, row)
-		}
-		if row.Granted == row.Moving() {
+		if row.Holder == in && row.Granted == row.Moving() {
 			told.Rows = append(told.Rows, fleet.RowRef{From: row.From, Fence: row.Fence, Granted: !row.Moving()})
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 
 func newLeader(t testing.TB) *leader {
 	l := &leader{t: t, state: fleet.NewState(), reg: New(0)}
+	l.reg.parts = 1
 	l.commit(fleet.Command{Patch: &items.Patch{Items: []items.Item{{
 		Key: items.Key{Collection: items.Services, Name: "s"}, Version: 1, Service: &items.Service{Sharded: true},
 	}}}})
@@ -161,6 +163,22 @@
 	}
 }
 
+// Guards against a release that is believed although the target holds the row
+// again: an earlier answer that granted it arrived after the one that did not.
+func TestReleaseOfARowThatIsHeldAgainDoesNotCount(t *testing.T) {
+	l := divided(t)
+	row := l.moving(2*time.Second, 3)
+	b := beatOf("1", 4)
+	b.Target.Condition = fleet.Draining
+	b.Released = []Released{{From: row.From, To: row.To, Handover: "h"}}
+	b.Held = []Range{{From: row.From, To: row.To}}
+	l.beat(2100*time.Millisecond, b)
+	l.plan(3 * time.Second)
+	if got := l.rows()[0]; got.Holder.ID != "1" {
+		t.Errorf("row is %+v, want it at the target that says that it holds it", got)
+	}
+}
+
 // Guards against keys that wait for the expiry of a target that has restarted.
 func TestRestartedTargetFreesItsKeys(t *testing.T) {
 	l := divided(t)
@@ -267,3 +285,92 @@
 		}
 	}
 }
+
+// Guards against busy keys, which are close to one another, that are all held by
+// one target: they must be spread before anybody knows that they are busy.
+func TestNeighbouringKeysHaveManyHolders(t *testing.T) {
+	const targets, busy = 120, 200
+	l := newLeader(t)
+	l.reg.parts = 0
+	for i := range targets {
+		l.beat(0, beatOf(fmt.Sprint(i), 1))
+	}
+	l.plan(settleTime)
+	for first := 0; first+busy <= fleet.MaxKey; first += 7919 {
+		holders := make(map[string]int)
+		for _, row := range l.rows() {
+			if n := min(row.To, first+busy-1) - max(row.From, first) + 1; n > 0 {
+				holders[row.Holder.ID] += n
+			}
+		}
+		for id, n := range holders {
+			if n > busy/5 {
+				t.Errorf("target %s holds %d of %d neighbouring keys from %d on", id, n, busy, first)
+			}
+		}
+	}
+}
+
+// Guards against answers to heartbeats above the 4 KiB that targets take.
+func TestFirstDivisionLeavesRoomInAnswers(t *testing.T) {
+	for _, targets := range []int{1, 3, 12, 194, 5000} {
+		var shard fleet.Shard
+		var list []fleet.Incarnation
+		for i := range targets {
+			list = append(list, fleet.Incarnation{ID: fmt.Sprint(i), Born: 1})
+		}
+		divide(&shard, list, 0)
+		held := make(map[fleet.Incarnation]int)
+		next := 0
+		for _, row := range shard.Rows {
+			held[row.Holder]++
+			if row.From != next || row.To < row.From {
+				t.Fatalf("%d targets: row %+v does not follow key %d", targets, row, next)
+			}
+			next = row.To + 1
+		}
+		if next != fleet.MaxKey+1 {
+			t.Errorf("%d targets: keys from %d on have no holder", targets, next)
+		}
+		for in, n := range held {
+			if n > maxHeld {
+				t.Errorf("%d targets: %s holds %d rows, %d fit into an answer", targets, in.ID, n, maxHeld)
+			}
+		}
+	}
+}
+
+// Guards against a target that joins and serves next to nothing, and against one
+// that takes all rows of another.
+func TestTargetThatJoinsGetsItsShare(t *testing.T) {
+	l := newLeader(t)
+	l.reg.parts = 0
+	for i := range 12 {
+		l.beat(0, beatOf(fmt.Sprint(i), 1))
+	}
+	l.plan(settleTime)
+	for i := range 12 {
+		l.beat(settleTime, beatOf(fmt.Sprint(i), 2))
+	}
+	l.beat(2*time.Second, beatOf("new", 1))
+	l.plan(2 * time.Second)
+	coming := 0
+	kept := make(map[string]int)
+	for _, row := range l.rows() {
+		size := row.To - row.From + 1
+		if row.Next.ID == "new" {
+			coming += size
+			continue
+		}
+		kept[row.Holder.ID] += size
+	}
+	equal := (fleet.MaxKey + 1) / 13
+	if coming < equal/2 || coming > equal {
+		t.Errorf("%d keys go to the target that joined, an equal share is %d", coming, equal)
+	}
+	for id, n := range kept {
+		if n < equal*9/10 {
+			t.Errorf("target %s keeps %d keys, an equal share is %d", id, n, equal)
+		}
+	}
+}
