Add a fault soak of the platform's roles as processes

Three control VMs, three entries and six targets behind a proxy each run on loopback. Seeded faults overlap: control VMs and entries are killed, suspended and stopped by signals and restarted; connections to targets are held, delayed, made deaf or reset; heartbeats are withheld. Callers keep using open connections. While it runs no two targets may hold a key; afterwards no post ran twice, no refused post ran, every answer belongs to its request, confirmed changes are read back and every entry serves again within 15 s. Not covered: links between VMs are not behind a proxy, clocks and disks do not misbehave.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Fixed so that property tests draw the same cases on every run.
 export FLAMINGOREEL_TEST_SEED ?= 1
 
-.PHONY: build test demo demo-check demo-golden prove soak load golden
+.PHONY: build test demo demo-check demo-golden prove soak fault-soak load golden
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -32,6 +32,12 @@
 soak:
 	./scripts/soak.sh
 
+# Runs the fault soak: daemons as processes under random faults, about 11 s a
+# seed. SEEDS is FIRST:COUNT; without it the seeds are new each time.
+SEEDS ?= $(shell date +%s | cut -c4-):20
+fault-soak:
+	FLAMINGOREEL_FAULT_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -v -run TestFaultSoak ./cmd/flamingoreeld
+
 # Runs one deployment as processes on loopback under a load and a fault, for
 # example `make load DEPLOYMENT=himal FAULT=kill-leader`. RATE is in requests
 # per second, DURATION in seconds.
--- a/cmd/flamingoreeld/platform_test.go
+++ b/cmd/flamingoreeld/platform_test.go
@@ -109,23 +109,23 @@
   bounds: {grace: "3s", retry_ratio: 0.2, cold_factor: 1.5, cold_slack: 5}
 `
 
-// newSite starts three control VMs and two entries. Each VM has its own loopback
-// address, so that the ports are the same on all of them.
-func newSite(t *testing.T) *site {
+// newSite starts three control VMs and some entries. Each VM has its own address
+// in 127.0.network.0, so that the ports are the same on all of them.
+func newSite(t *testing.T, network, entries int) *site {
 	s := &site{t: t, dir: t.TempDir(), procs: make(map[string]*exec.Cmd)}
 	link, control, front, ready := freePort(t), freePort(t), freePort(t), freePort(t)
 	var seeds []string
 	for i := range 3 {
-		addr := net.JoinHostPort(fmt.Sprintf("127.0.9.%d", i+1), strconv.Itoa(control))
+		addr := net.JoinHostPort(fmt.Sprintf("127.0.%d.%d", network, i+1), strconv.Itoa(control))
 		s.controls = append(s.controls, addr)
 		seeds = append(seeds, strconv.Quote(addr))
 	}
 	s.seeds = strings.Join(seeds, ", ")
 	for i, addr := range s.controls {
-		s.start(fmt.Sprintf("control-%d", i), fmt.Sprintf("127.0.9.%d", i+1), link, fmt.Sprintf("control: %q", addr))
+		s.start(fmt.Sprintf("control-%d", i), fmt.Sprintf("127.0.%d.%d", network, i+1), link, fmt.Sprintf("control: %q", addr))
 	}
-	for i := range 2 {
-		ip := fmt.Sprintf("127.0.9.%d", 11+i)
+	for i := range entries {
+		ip := fmt.Sprintf("127.0.%d.%d", network, 11+i)
 		s.entries = append(s.entries, net.JoinHostPort(ip, strconv.Itoa(front)))
 		s.ready = append(s.ready, net.JoinHostPort(ip, strconv.Itoa(ready)))
 		s.start(fmt.Sprintf("entry-%d", i), ip, link, fmt.Sprintf("front: %q, ready_addr: %q", s.entries[i], s.ready[i]))
@@ -181,6 +181,24 @@
 	s.t.Fatalf("%s: not within %v", what, limit)
 }
 
+// awaitReady waits until all entries take callers.
+func (s *site) awaitReady() {
+	s.t.Helper()
+	s.eventually("entries ready", 5*time.Second, func() bool {
+		for _, ready := range s.ready {
+			resp, err := client.Get("http://" + ready + "/ready")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // order sends a call to one control VM after the other until one accepts it.
 func (s *site) order(call, of, body string) {
 	s.t.Helper()
@@ -231,7 +249,7 @@
 // Guards the whole path as processes: discovery from seeds, items, heartbeats,
 // keys, requests, a data centre out, the loss of a control VM and planned stops.
 func TestPlatformSession(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, 9, 2)
 	for i := range 2 {
 		startPlatformTarget(t, &platformTarget{id: fmt.Sprint("ledger-", i), service: "ledger", zone: fmt.Sprint("z", i+1), controls: s.controls, work: 300 * time.Millisecond})
 	}
@@ -240,14 +258,7 @@
 		reports = append(reports, startPlatformTarget(t, &platformTarget{id: fmt.Sprint("reports-", i), service: "reports", zone: "z1", sharded: true, controls: s.controls}))
 	}
 	s.order("config.patch", "", firstItems)
-	s.eventually("entries ready", 5*time.Second, func() bool {
-		for _, ready := range s.ready {
-			if resp, err := client.Get("http://" + ready + "/ready"); err != nil || resp.StatusCode != http.StatusOK {
-				return false
-			}
-		}
-		return true
-	})
+	s.awaitReady()
 	s.eventually("a post at each entry", 5*time.Second, func() bool {
 		a, _ := s.request(0, "POST", "/post/x?y=1", "warm-0", "")
 		b, _ := s.request(1, "POST", "/post/x?y=1", "warm-1", "")
--- /dev/null
+++ b/cmd/flamingoreeld/soak_test.go
@@ -0,0 +1,377 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Sizes and times of a soak.
+const (
+	soakNetwork  = 10
+	soakEntries  = 3
+	soakTargets  = 3
+	soakCallers  = 8
+	soakLength   = 6 * time.Second
+	soakGap      = 350 * time.Millisecond
+	soakDeadline = 2 * time.Second
+	// soakRecovery is how long all entries may take to serve again after the last
+	// fault: the users allow 15 s.
+	soakRecovery = 15 * time.Second
+	// soakLook is the time between two looks at who holds which keys.
+	soakLook = 10 * time.Millisecond
+)
+
+// soakSeeds are the seeds of an ordinary run: first those that ever failed, each
+// with its cause, then some fixed ones. FLAMINGOREEL_FAULT_SEEDS=FIRST:COUNT
+// names others.
+func soakSeeds(t *testing.T) []uint64 {
+	spec := os.Getenv("FLAMINGOREEL_FAULT_SEEDS")
+	if spec == "" {
+		return []uint64{1, 2}
+	}
+	first, count, _ := strings.Cut(spec, ":")
+	from, err := strconv.ParseUint(first, 10, 32)
+	if err != nil {
+		t.Fatalf("FLAMINGOREEL_FAULT_SEEDS: %v", err)
+	}
+	n, err := strconv.Atoi(count)
+	if err != nil {
+		t.Fatalf("FLAMINGOREEL_FAULT_SEEDS: %v", err)
+	}
+	var seeds []uint64
+	for i := range n {
+		seeds = append(seeds, from+uint64(i))
+	}
+	return seeds
+}
+
+// Guards the promises to callers and operators under random faults of processes,
+// connections and heartbeats that overlap: no post runs twice, a refused request
+// did not run, answers belong to their requests, keys have one holder, confirmed
+// changes last, and service resumes.
+func TestFaultSoak(t *testing.T) {
+	for _, seed := range soakSeeds(t) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { newSoak(t, seed).run() })
+	}
+}
+
+// soak is one run.
+type soak struct {
+	*site
+	rng     *rand.Rand
+	targets []*platformTarget
+	proxies []*faultyProxy
+	// faults counts the faults that are not undone yet.
+	faults sync.WaitGroup
+
+	mu sync.Mutex
+	// busy names the processes that a fault has in hand.
+	busy    map[string]bool
+	results []result
+	// acked is the number of confirmed changes of the operator.
+	acked int
+}
+
+// result is what a caller got; status 0 stands for no response.
+type result struct {
+	id, method string
+	status     int
+	body, want string
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{site: newSite(t, soakNetwork, soakEntries), rng: rand.New(rand.NewPCG(seed, 11)), busy: make(map[string]bool)}
+	for _, service := range []string{"ledger", "reports"} {
+		for i := range soakTargets {
+			proxy := startProxy(t)
+			target := startPlatformTarget(t, &platformTarget{
+				id: fmt.Sprint(service, "-", i), service: service, zone: fmt.Sprint("z", i%2+1), sharded: service == "reports",
+				controls: s.controls, work: 20 * time.Millisecond, announced: proxy.listener.Addr().String(), proxy: proxy,
+			})
+			s.targets, s.proxies = append(s.targets, target), append(s.proxies, proxy)
+		}
+	}
+	s.order("config.patch", "", firstItems)
+	s.awaitReady()
+	return s
+}
+
+func (s *soak) run() {
+	s.awaitService(soakRecovery)
+	callers, stopCallers := context.WithCancel(context.Background())
+	var background sync.WaitGroup
+	for i := range soakCallers {
+		rng := rand.New(rand.NewPCG(s.rng.Uint64(), uint64(i)))
+		background.Go(func() { s.call(callers, i, rng) })
+	}
+	background.Go(func() { s.operate(callers) })
+	background.Go(func() { s.watchHolders(callers) })
+	for end := time.Now().Add(soakLength); time.Now().Before(end); time.Sleep(soakGap) {
+		s.inject()
+	}
+	s.faults.Wait()
+	s.awaitService(soakRecovery)
+	stopCallers()
+	background.Wait()
+	s.checkResults()
+	s.checkChanges()
+}
+
+// awaitService waits until every entry serves posts and keys.
+func (s *soak) awaitService(limit time.Duration) {
+	s.t.Helper()
+	for entry := range s.entries {
+		n := 0
+		s.eventually(fmt.Sprintf("service at entry %d", entry), limit, func() bool {
+			n++
+			post, _ := s.request(entry, "POST", "/post/x", fmt.Sprintf("await-%d-%d-%d", entry, n, time.Now().UnixNano()), "")
+			pull, _ := s.request(entry, "GET", "/pull/x", fmt.Sprintf("await-k-%d-%d", entry, n), strconv.Itoa(n*7919%65536))
+			return post == http.StatusOK && pull == http.StatusOK
+		})
+	}
+}
+
+// call sends requests of one caller over kept connections until ctx ends.
+func (s *soak) call(ctx context.Context, caller int, rng *rand.Rand) {
+	client := &http.Client{Timeout: 2 * soakDeadline, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("c%d-%d", caller, n)
+		method, path, key := "POST", "/post/"+id, ""
+		if rng.IntN(2) == 0 {
+			method, path, key = "GET", "/pull/"+id, strconv.Itoa(rng.IntN(65536))
+		}
+		r := s.send(client, s.entries[rng.IntN(len(s.entries))], id, method, path, key)
+		s.mu.Lock()
+		s.results = append(s.results, r)
+		s.mu.Unlock()
+		time.Sleep(time.Duration(rng.IntN(15)) * time.Millisecond)
+	}
+}
+
+func (s *soak) send(client *http.Client, entry, id, method, path, key string) result {
+	r := result{id: id, method: method, want: method + " " + path + " dues"}
+	// The body has no GetBody, so that the client library never sends it again.
+	req, err := http.NewRequest(method, "http://"+entry+path, io.NopCloser(strings.NewReader("dues")))
+	if err != nil {
+		s.t.Error(err)
+		return r
+	}
+	req.ContentLength = int64(len("dues"))
+	req.Host = "a.example"
+	req.Header.Set("Flamingoreel-Request-Id", id)
+	req.Header.Set("Flamingoreel-Deadline-Ms", strconv.FormatInt(soakDeadline.Milliseconds(), 10))
+	if key != "" {
+		req.Header.Set("Flamingoreel-Shard-Key", key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return r
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return r
+	}
+	r.status, r.body = resp.StatusCode, string(body)
+	return r
+}
+
+// operate adds a route at a time and counts the confirmed ones.
+func (s *soak) operate(ctx context.Context) {
+	for n := 1; ctx.Err() == nil; {
+		if s.change(n) {
+			s.mu.Lock()
+			s.acked = n
+			s.mu.Unlock()
+			n++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// change sends one change to a control VM and reports whether it was confirmed.
+func (s *soak) change(n int) bool {
+	body := fmt.Sprintf(`{"upsert":{"routes":{"n%d":{"hostname":"a.example","path_prefix":"/n%d/","kind":"safe","timeout":"3s",`+
+		`"target_latency":"800ms","service":"ledger","max_attempts":2,"version":"%08x"}}}}`, n, n, n)
+	status, _ := post(s.controls[n%len(s.controls)], "config.patch", "", []byte(body))
+	if status == http.StatusOK {
+		return true
+	}
+	for _, control := range s.controls {
+		if status, _ := post(control, "config.patch", "", []byte(body)); status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// watchHolders fails the test when two targets hold a key at the same time.
+func (s *soak) watchHolders(ctx context.Context) {
+	for ctx.Err() == nil {
+		holders := make(map[string][][2]int)
+		for _, target := range s.targets {
+			target.mu.Lock()
+		}
+		now := time.Now()
+		for _, target := range s.targets {
+			holders[target.id] = target.held(now)
+		}
+		for _, target := range s.targets {
+			target.mu.Unlock()
+		}
+		for a, rows := range holders {
+			for b, others := range holders {
+				if a < b && overlap(rows, others) {
+					s.t.Errorf("%s and %s hold the same key: %v and %v", a, b, rows, others)
+					return
+				}
+			}
+		}
+		time.Sleep(soakLook)
+	}
+}
+
+func overlap(a, b [][2]int) bool {
+	for _, x := range a {
+		for _, y := range b {
+			if x[0] <= y[1] && y[0] <= x[1] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkResults compares what callers got with what targets ran.
+func (s *soak) checkResults() {
+	served := 0
+	for _, r := range s.results {
+		runs := 0
+		for _, target := range s.targets {
+			runs += target.ran(r.id)
+		}
+		switch {
+		case r.method == "POST" && runs > 1:
+			s.t.Errorf("post %s ran %d times", r.id, runs)
+		case (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && r.method == "POST" && runs > 0:
+			s.t.Errorf("post %s was refused with %d and ran", r.id, r.status)
+		case r.status == http.StatusOK && (runs == 0 || r.body != r.want):
+			s.t.Errorf("request %s ran %d times and got %q, want %q", r.id, runs, r.body, r.want)
+		case r.status == http.StatusNotFound:
+			s.t.Errorf("request %s got 404 for a route that stands", r.id)
+		case r.status == http.StatusOK:
+			served++
+		}
+	}
+	s.t.Logf("%d of %d requests served, %d changes confirmed", served, len(s.results), s.acked)
+	if served*4 < len(s.results) {
+		s.t.Errorf("%d of %d requests were served, want a quarter at least", served, len(s.results))
+	}
+}
+
+// checkChanges reads all confirmed changes back.
+func (s *soak) checkChanges() {
+	var body []byte
+	s.eventually("the items read back", soakRecovery, func() bool {
+		var status int
+		status, body = post(s.controls[0], "config.get", "", nil)
+		return status == http.StatusOK
+	})
+	for n := 1; n <= s.acked; n++ {
+		if !strings.Contains(string(body), fmt.Sprintf(`"/n%d/"`, n)) {
+			s.t.Errorf("the confirmed route n%d is gone", n)
+		}
+	}
+}
+
+// inject begins one random fault that undoes itself.
+func (s *soak) inject() {
+	hold := 300*time.Millisecond + time.Duration(s.rng.IntN(1200))*time.Millisecond
+	switch kind := s.rng.IntN(10); kind {
+	case 0, 1, 2:
+		// One control VM of three may be lost at a time.
+		s.faultProcess("control", s.rng.IntN(len(s.controls)), kind, hold)
+	case 3, 4, 5:
+		s.faultProcess("entry", s.rng.IntN(len(s.entries)), kind-3, hold)
+	case 6:
+		target := s.targets[s.rng.IntN(len(s.targets))]
+		s.undoAfter(4*hold, func() { target.muted.Store(true) }, func() { target.muted.Store(false) })
+	case 7:
+		s.proxies[s.rng.IntN(len(s.proxies))].reset()
+	default:
+		proxy := s.proxies[s.rng.IntN(len(s.proxies))]
+		mode := proxySilent + proxyMode(s.rng.IntN(3))
+		s.undoAfter(hold, func() { proxy.set(mode) }, func() { proxy.set(proxyPassing) })
+	}
+}
+
+// undoAfter does something and undoes it after a while.
+func (s *soak) undoAfter(hold time.Duration, do, undo func()) {
+	do()
+	s.faults.Go(func() {
+		time.Sleep(hold)
+		undo()
+	})
+}
+
+// faultProcess kills, suspends or stops a process and lets it go on.
+func (s *soak) faultProcess(role string, index, how int, hold time.Duration) {
+	name := fmt.Sprint(role, "-", index)
+	group := name
+	if role == "control" {
+		group = role
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy[group] {
+		return
+	}
+	s.busy[group] = true
+	cmd := s.procs[name]
+	s.faults.Go(func() {
+		switch how {
+		case 0:
+			s.signal(name, syscall.SIGKILL)
+			_ = cmd.Wait()
+			time.Sleep(hold)
+			s.restart(name)
+		case 1:
+			s.signal(name, syscall.SIGSTOP)
+			time.Sleep(hold)
+			s.signal(name, syscall.SIGCONT)
+		default:
+			s.signal(name, syscall.SIGTERM)
+			_ = cmd.Wait()
+			s.restart(name)
+		}
+		// A control VM counts as lost until it has caught up.
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		delete(s.busy, group)
+		s.mu.Unlock()
+	})
+}
+
+func (s *soak) signal(name string, sig syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.procs[name].Process.Signal(sig); err != nil {
+		s.t.Errorf("%v to %s: %v", sig, name, err)
+	}
+}
+
+func (s *soak) restart(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.site.run(name)
+}
--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -23,8 +24,14 @@
 	sharded  bool
 	work     time.Duration
 	controls []string
+	// announced is the address that the target names; its own if empty.
+	announced string
+	// proxy, if set, passes connections on to the target.
+	proxy    *faultyProxy
 	listener net.Listener
 	stop     chan struct{}
+	// muted says that the target's heartbeats do not leave it.
+	muted atomic.Bool
 
 	mu       sync.Mutex
 	state    string
@@ -48,6 +55,9 @@
 	}
 	p.t, p.listener, p.state, p.born = t, listener, "ready", time.Now().UnixMilli()
 	p.stop, p.runs = make(chan struct{}), make(map[string]int)
+	if p.proxy != nil {
+		p.proxy.to = listener.Addr().String()
+	}
 	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
 	go p.announce()
@@ -60,7 +70,9 @@
 
 func (p *platformTarget) announce() {
 	for {
-		p.beat()
+		if !p.muted.Load() {
+			p.beat()
+		}
 		select {
 		case <-p.stop:
 			return
@@ -71,6 +83,10 @@
 
 // beat sends one heartbeat to the first control VM that answers.
 func (p *platformTarget) beat() {
+	address := p.announced
+	if address == "" {
+		address = p.listener.Addr().String()
+	}
 	p.mu.Lock()
 	p.seq++
 	held := make([][]any, 0, len(p.rows))
@@ -78,7 +94,7 @@
 		held = append(held, r[:3])
 	}
 	body, err := json.Marshal(map[string]any{
-		"service": p.service, "address": p.listener.Addr().String(), "zone": p.zone, "version": "v1", "slots": 4,
+		"service": p.service, "address": address, "zone": p.zone, "version": "v1", "slots": 4,
 		"state": p.state, "cold_left": "0ms", "seq_no": p.seq, "born": p.born, "holds": held, "released": p.released,
 	})
 	reported := len(p.released)
@@ -176,6 +192,17 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
 }
 
+// held returns the rows that the target holds at a time; the target is locked.
+func (p *platformTarget) held(now time.Time) [][2]int {
+	var rows [][2]int
+	for _, r := range p.rows {
+		if now.Before(p.until) {
+			rows = append(rows, [2]int{int(r[0].(float64)), int(r[1].(float64))})
+		}
+	}
+	return rows
+}
+
 // ran returns how often the request ran.
 func (p *platformTarget) ran(id string) int {
 	p.mu.Lock()
