Await the reset of a new connection for a round trip

A target in another region resets a new connection a round trip after it was set up, longer than the 2 ms watched. Change: a new connection is watched for the time that it took to set up plus 2 ms, 25 ms at most. TestResetIsAwaitedForARoundTrip fails without the change.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,11 +27,14 @@
 	// dialTimeout bounds a new connection: a round trip between regions is 16 ms,
 	// and a lost packet is sent again after a second.
 	dialTimeout = 400 * time.Millisecond
-	// settleTime is how long a new connection is watched before a request is sent
-	// on it. A target that has too many connections resets a new one as soon as it
-	// has accepted it; a request that was written by then may have run, for all
-	// that the entry knows, and could not go elsewhere.
+	// settleTime is how much longer than a round trip a new connection is watched
+	// before a request is sent on it. A target that has too many connections resets
+	// a new one as soon as it has accepted it; a request that was written by then
+	// may have run, for all that the entry knows, and could not go elsewhere.
 	settleTime = 2 * time.Millisecond
+	// maxSettle bounds the watch: a first packet that was lost says nothing about
+	// the round trip.
+	maxSettle = 25 * time.Millisecond
 	// silentTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken. It covers two retransmissions of a lossy link.
 	silentTimeout = 1200 * time.Millisecond
@@ -155,6 +158,7 @@
 		}
 		_ = c.nc.Close()
 	}
+	began := time.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if errors.Is(err, syscall.ECONNRESET) {
 		return nil, ErrResetAtOnce
@@ -166,7 +170,7 @@
 	p.dials++
 	p.mu.Unlock()
 	c := &conn{nc: nc, r: bufio.NewReaderSize(nc, readBuffer)}
-	if clock.Pause(ctx, settleTime); !c.quiet() {
+	if clock.Pause(ctx, min(time.Since(began)+settleTime, maxSettle)); !c.quiet() {
 		_ = nc.Close()
 		return nil, ErrResetAtOnce
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -195,6 +196,23 @@
 	}
 }
 
+// Guards against a reset that arrives after the request because the target is a
+// region away: the reset needs a round trip more than the connection.
+func TestResetIsAwaitedForARoundTrip(t *testing.T) {
+	const roundTrip = 10 * time.Millisecond
+	target := startTarget(t, func(net.Conn, int) bool { return false })
+	p := NewPool()
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		time.Sleep(roundTrip)
+		return nil
+	}
+	began := time.Now()
+	_, _ = p.Do(context.Background(), &Request{Addr: target.addr, Method: "GET", URI: "/", Host: "h"})
+	if took := time.Since(began); target.requests.Load() != 1 || took < 2*roundTrip {
+		t.Errorf("%d requests after %v, want one after two round trips", target.requests.Load(), took)
+	}
+}
+
 // Guards against work that goes on after the caller has left.
 func TestCancelClosesTheConnection(t *testing.T) {
 	closed := make(chan struct{})
