Log and count requests that are refused before routing

Cause: a request that is refused because the entry stops, knows no configuration or has no such route left no line, so that its ID led nowhere. Nothing was ruled out; found while reading the code. No decision changes. TestRefusalsBeforeRoutingAreLogged fails without the change.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
@@ -336,3 +337,22 @@
 		t.Error("an answer of unknown age counts as contact with the leader")
 	}
 }
+
+// Guards against refused requests that leave no line in the log: on-call
+// engineers find the cause by the request's ID.
+func TestRefusalsBeforeRoutingAreLogged(t *testing.T) {
+	b := newBench(t, newTarget(t, signed))
+	logged := memory.New()
+	b.g.cfg.Logger = &log.Logger{Handler: logged, Level: log.InfoLevel}
+	b.serve("/none/", "lost-1")
+	b.g.RefuseNew()
+	b.serve("/post/x", "lost-2")
+	outcomes := make(map[string]errkind.Kind)
+	for _, entry := range logged.Entries {
+		id, _ := entry.Fields.Get("request").(string)
+		outcomes[id], _ = entry.Fields.Get("outcome").(errkind.Kind)
+	}
+	if outcomes["lost-1"] != errkind.UnknownRoute || outcomes["lost-2"] != errkind.Stopping {
+		t.Errorf("the log has %v, want both requests with their outcome", outcomes)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -76,17 +76,17 @@
 	view := g.view.Load()
 	now := g.now()
 	if g.stopping.refusing.Load() {
-		return g.refuse(errStopping())
+		return g.refuseAtOnce(req, errStopping())
 	}
 	if !view.Configured() {
-		return g.refuse(errkind.New(errkind.NoLease, "no configuration is known yet"))
+		return g.refuseAtOnce(req, errkind.New(errkind.NoLease, "no configuration is known yet"))
 	}
 	item, ok := view.Match(req.Name, req.Path)
 	if !ok {
 		if g.stale(now) {
-			return g.refuse(errkind.New(errkind.NoLease, "the route is not known and the configuration may be out of date"))
+			return g.refuseAtOnce(req, errkind.New(errkind.NoLease, "the route is not known and the configuration may be out of date"))
 		}
-		return Result{Err: errkind.New(errkind.UnknownRoute, "no route for %s%s", req.Name, req.Path)}
+		return g.refuseAtOnce(req, errkind.New(errkind.UnknownRoute, "no route for %s%s", req.Name, req.Path))
 	}
 	a := &attempt{g: g, req: req, route: item.Route, name: item.Name, arrived: now}
 	wait := req.Wait
@@ -229,6 +229,22 @@
 	return Result{Err: failure, RetryAfter: retryMin + time.Duration(g.rng.Int64N(int64(retrySpread)))}
 }
 
+// refuseAtOnce answers, logs and counts a request that is refused before its
+// route is known. Callers come back unless there is no such route.
+func (g *Gateway) refuseAtOnce(req *Request, failure *errkind.Error) Result {
+	g.metrics.requests.WithLabelValues("", string(failure.Kind)).Inc()
+	result := Result{Err: failure}
+	if failure.Kind != errkind.UnknownRoute {
+		result = g.refuse(failure)
+	}
+	g.cfg.Logger.WithFields(log.Fields{
+		"request": req.ID, "host": req.Name, "path": req.Path, "revision": g.view.Load().Revision(),
+		"state_age": (g.now() - time.Duration(g.contact.Load())).Round(time.Millisecond), "outcome": failure.Kind,
+		"reason": failure.Error(), "retry_after": result.RetryAfter.Round(time.Millisecond),
+	}).Info("request refused at once")
+	return result
+}
+
 // record logs and counts a finished request. Answered requests are counted only.
 func (a *attempt) record(r Result, version uint64) {
 	took := a.g.now() - a.arrived
