Order the start of the soak's proxies; wait for the first request in TestTimeouts

TestFaultSoak: the race detector saw the proxy accept connections while its target's address was still being set; the proxy now starts with the address. TestTimeouts: the test slept 50 ms for the first request to take the only connection, which is not enough on a loaded machine, so that the second one got it; it now waits until the target has the first request. What it asks is the same. Ruled out: a fault of the client, which gave the free connection away as it should.

--- a/cmd/flamingoreeld/proxy_test.go
+++ b/cmd/flamingoreeld/proxy_test.go
@@ -38,15 +38,14 @@
 	conns map[net.Conn]bool
 }
 
-// startProxy passes connections on to an address that is set later.
-func startProxy(t *testing.T) *faultyProxy {
+// newProxy listens; serve names the address to which it passes connections on.
+func newProxy(t *testing.T) *faultyProxy {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := &faultyProxy{listener: listener, conns: make(map[net.Conn]bool)}
-	go p.accept()
 	t.Cleanup(func() {
 		_ = listener.Close()
 		p.reset()
@@ -54,6 +53,11 @@
 	return p
 }
 
+func (p *faultyProxy) serve(to string) {
+	p.to = to
+	go p.accept()
+}
+
 func (p *faultyProxy) set(mode proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/cmd/flamingoreeld/soak_test.go
+++ b/cmd/flamingoreeld/soak_test.go
@@ -93,7 +93,7 @@
 	s := &soak{site: newSite(t, soakNetwork, soakEntries), rng: rand.New(rand.NewPCG(seed, 11)), busy: make(map[string]bool)}
 	for _, service := range []string{"ledger", "reports"} {
 		for i := range soakTargets {
-			proxy := startProxy(t)
+			proxy := newProxy(t)
 			target := startPlatformTarget(t, &platformTarget{
 				id: fmt.Sprint(service, "-", i), service: service, zone: fmt.Sprint("z", i%2+1), sharded: service == "reports",
 				controls: s.controls, work: 20 * time.Millisecond, announced: proxy.listener.Addr().String(), proxy: proxy,
--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -56,7 +56,7 @@
 	p.t, p.listener, p.state, p.born = t, listener, "ready", time.Now().UnixMilli()
 	p.stop, p.runs = make(chan struct{}), make(map[string]int)
 	if p.proxy != nil {
-		p.proxy.to = listener.Addr().String()
+		p.proxy.serve(listener.Addr().String())
 	}
 	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -121,10 +121,11 @@
 // Guards against a request that may have run being reported as not run, and
 // against renewals that wait for the slots of work.
 func TestTimeouts(t *testing.T) {
-	stall := make(chan struct{})
+	stall, arrived := make(chan struct{}), make(chan struct{})
 	t.Cleanup(func() { close(stall) })
 	addr, _ := rawTarget(t, func(n int64, w io.Writer) bool {
 		if n == 1 {
+			close(arrived)
 			<-stall
 		}
 		reply := `{"accepted":true,"clock_ms":7}`
@@ -133,15 +134,17 @@
 	})
 	c := NewClient(addr, 1, nil)
 	defer c.Close()
-	short, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	long, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	first := make(chan error, 1)
 	go func() {
-		_, err := c.Do(short, Request{Method: "POST", Path: "/", MaxAnswer: 10})
+		_, err := c.Do(long, Request{Method: "POST", Path: "/", MaxAnswer: 10})
 		first <- err
 	}()
-	time.Sleep(50 * time.Millisecond)
-	if rep, err := c.Grant(short, GrantRequest{}); err != nil || rep.ClockMs != 7 {
+	<-arrived
+	short, cancelShort := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancelShort()
+	if rep, err := c.Grant(t.Context(), GrantRequest{}); err != nil || rep.ClockMs != 7 {
 		t.Errorf("grant while the slots are full: %+v, %v", rep, err)
 	}
 	if _, err := c.Do(short, Request{Method: "POST", Path: "/", MaxAnswer: 10}); kindOf(err) != errkind.TargetUnreachable {
