Record where a change of the operators waits

Logs and metrics could not tell its three possible causes apart: a wait in the queue of the control goroutine, votes that are missing, and a call held by a VM that does not lead.

The controller now measures the wait and the work of its goroutine, the length of its queue, attempts at the leader by outcome, commits and answers. Each answer to an operator has a line at the VM that was asked, and each turn of 100 ms or more one at the VM that was busy.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -288,7 +288,7 @@
 		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Seeds: s.Seeds,
 		CallAddr: s.ControlAddr, Regions: s.Regions,
 		DataDir: s.DataDir, Bootstrap: s.Bootstrap, Tolerated: s.Tolerated,
-		Seed: uint64(time.Now().UnixNano()), Logger: p.logger,
+		Seed: uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
 	})
 	if err != nil {
 		return cli.Exit(err, exitSettings)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -47,6 +48,8 @@
 	Tolerated int
 	Seed      uint64
 	Logger    log.Interface
+	// Registry takes the metrics; nil for none.
+	Registry prometheus.Registerer
 }
 
 // Methods of the links.
@@ -64,6 +67,8 @@
 	clock clock.Since
 	links *link.Node
 	loop  *loop
+
+	metrics *metrics
 	// leader is the link address of the leader that this VM follows.
 	leader atomic.Pointer[string]
 
@@ -98,6 +103,7 @@
 	}
 	c.links = links
 	c.loop = newLoop(c)
+	c.metrics = newMetrics(cfg.Registry, func() int { return len(c.loop.events) })
 	if err := c.loop.open(); err != nil {
 		_ = links.Close()
 		return nil, err
@@ -170,7 +176,7 @@
 	if err != nil {
 		return registry.Grant{}, errkind.From(err)
 	}
-	data, failure := c.callLeader(ctx, methodBeat, payload, c.leadBeat)
+	data, _, failure := c.callLeader(ctx, methodBeat, payload, c.leadBeat)
 	if failure != nil {
 		return registry.Grant{}, failure
 	}
@@ -207,17 +213,31 @@
 	if err != nil {
 		return errkind.From(err)
 	}
+	asked := c.now()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	_, failure := c.callLeader(ctx, methodChange, payload, c.leadChange)
+	_, attempts, failure := c.callLeader(ctx, methodChange, payload, c.leadChange)
+	c.logAnswer(attempts, c.now()-asked, failure)
 	return failure
 }
 
+// logAnswer records how the change that an operator sent to this VM was answered.
+func (c *Controller) logAnswer(attempts int, took time.Duration, failure *errkind.Error) {
+	c.metrics.answered.WithLabelValues(outcome(failure)).Observe(took.Seconds())
+	line := c.cfg.Logger.WithFields(log.Fields{
+		"outcome": outcome(failure), "attempts": attempts, "took": took, "leader": c.Leader(),
+	})
+	if failure != nil {
+		line = line.WithField("reason", failure.Error())
+	}
+	line.Info("change answered")
+}
+
 // Items returns the configuration as the leader has it.
 func (c *Controller) Items(ctx context.Context) ([]items.Item, *errkind.Error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	data, failure := c.callLeader(ctx, methodRead, nil, func(ctx context.Context, _ []byte) ([]byte, error) { return c.leadRead(ctx) })
+	data, _, failure := c.callLeader(ctx, methodRead, nil, func(ctx context.Context, _ []byte) ([]byte, error) { return c.leadRead(ctx) })
 	if failure != nil {
 		return nil, failure
 	}
@@ -229,12 +249,14 @@
 }
 
 // callLeader runs a call at the leader, here or elsewhere, and looks for the
-// leader again until ctx ends. All calls may be repeated.
+// leader again until ctx ends. It also returns the number of attempts. All calls
+// may be repeated.
 func (c *Controller) callLeader(ctx context.Context, method string, payload []byte,
 	local func(context.Context, []byte) ([]byte, error),
-) ([]byte, *errkind.Error) {
-	failure := errkind.New(errkind.NotLeader, "the control leader is not known")
+) (answer []byte, attempts int, failure *errkind.Error) {
+	failure = errkind.New(errkind.NotLeader, "the control leader is not known")
 	for ctx.Err() == nil {
+		attempts++
 		leader := c.Leader()
 		var data []byte
 		var err error
@@ -247,15 +269,15 @@
 			data, err = c.callVM(ctx, leader, method, payload)
 		}
 		if err == nil {
-			return data, nil
+			return data, attempts, nil
 		}
 		failure = errkind.From(err)
 		if failure.Kind == errkind.InvalidText || failure.Kind == errkind.BadRequest {
-			return nil, failure
+			return nil, attempts, failure
 		}
 		clock.Pause(ctx, findPause)
 	}
-	return nil, failure
+	return nil, attempts, failure
 }
 
 func (c *Controller) callVM(ctx context.Context, addr, method string, payload []byte) ([]byte, error) {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -18,7 +18,10 @@
 	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
-var errNotLeading = errkind.New(errkind.NotLeader, "this VM is not the control leader")
+var (
+	errNotLeading    = errkind.New(errkind.NotLeader, "this VM is not the control leader")
+	errVotersMissing = errkind.New(errkind.NotLeader, "fewer replicas vote than the tolerated losses need")
+)
 
 // await returns the first value of a result, or an error when ctx ends.
 func await[T any](ctx context.Context, results <-chan T) (T, *errkind.Error) {
@@ -37,19 +40,28 @@
 	if err := wire.Unmarshal(payload, &cmd); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "change cannot be read")
 	}
+	arrived := c.now()
 	done := make(chan *errkind.Error, 1)
 	c.loop.post(ctx, func() {
 		now := c.now()
-		if !c.loop.leading(now) || !c.loop.enoughVoters(now) {
+		switch {
+		case !c.loop.leading(now):
 			done <- errNotLeading
-			return
+		case !c.loop.enoughVoters(now):
+			done <- errVotersMissing
+		default:
+			c.loop.propose(now, cmd, done)
 		}
-		c.loop.propose(now, cmd, done)
 	})
 	result, failure := await(ctx, done)
 	if failure != nil {
+		c.metrics.changes.WithLabelValues(outcome(failure)).Inc()
 		return nil, failure
 	}
+	c.metrics.changes.WithLabelValues(outcome(result)).Inc()
+	if result == nil {
+		c.metrics.commit.Observe((c.now() - arrived).Seconds())
+	}
 	c.logChange(cmd, result)
 	if result != nil {
 		return nil, result
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -41,8 +41,9 @@
 type loop struct {
 	c      *Controller
 	logger log.Interface
-	events chan func()
+	events chan event
 	ended  chan struct{}
+	turn   turn
 
 	store     *storage.Store
 	replicaID string
@@ -74,6 +75,12 @@
 	entrySeen map[string]time.Duration
 }
 
+// event is work for the control goroutine, queued at a time.
+type event struct {
+	run func()
+	at  time.Duration
+}
+
 // proposal waits for its entry to be committed.
 type proposal struct {
 	term uint64
@@ -83,7 +90,7 @@
 func newLoop(c *Controller) *loop {
 	return &loop{
 		c: c, logger: c.cfg.Logger,
-		events: make(chan func(), eventQueue), ended: make(chan struct{}),
+		events: make(chan event, eventQueue), ended: make(chan struct{}),
 		state: fleet.NewState(), changed: make(chan struct{}), deltas: make(map[uint64]*sharedDelta),
 		candidates: make(map[string]candidate), waiting: make(map[uint64]proposal), entrySeen: make(map[string]time.Duration),
 	}
@@ -171,9 +178,9 @@
 
 // post hands an event to the control goroutine. It reports false once that has
 // ended or ctx has.
-func (l *loop) post(ctx context.Context, event func()) bool {
+func (l *loop) post(ctx context.Context, run func()) bool {
 	select {
-	case l.events <- event:
+	case l.events <- event{run: run, at: l.c.now()}:
 		return true
 	case <-l.ended:
 	case <-ctx.Done():
@@ -190,27 +197,36 @@
 		select {
 		case <-ctx.Done():
 			return
-		case event := <-l.events:
-			event()
+		case e := <-l.events:
+			l.turn = turn{begun: l.c.now()}
+			l.handle(e)
 			l.handleBatch()
 		case <-ticker.C:
+			l.turn = turn{begun: l.c.now()}
 			l.tick()
 		}
 		l.process()
+		l.endTurn()
 	}
 }
 
 func (l *loop) handleBatch() {
 	for range eventBatch {
 		select {
-		case event := <-l.events:
-			event()
+		case e := <-l.events:
+			l.handle(e)
 		default:
 			return
 		}
 	}
 }
 
+func (l *loop) handle(e event) {
+	l.turn.events++
+	l.c.metrics.wait.Observe((l.c.now() - e.at).Seconds())
+	l.timed(workEvent, e.run)
+}
+
 func (l *loop) tick() {
 	now := l.c.now()
 	if l.failed && now-l.failedAt >= reopenInterval {
@@ -226,14 +242,19 @@
 	}
 	if now-l.lastPlan >= planInterval {
 		l.lastPlan = now
-		for _, cmd := range l.registry.Plan(now, l.state) {
-			l.logShard(cmd.Shard)
-			l.propose(now, cmd, nil)
-		}
+		l.timed(workPlan, func() { l.plan(now) })
 	}
 	if now-l.lastMember >= memberInterval {
 		l.lastMember = now
-		l.reconcileMembers(now)
+		l.timed(workMembers, func() { l.reconcileMembers(now) })
+	}
+}
+
+// plan proposes the moves of keys that are due.
+func (l *loop) plan(now time.Duration) {
+	for _, cmd := range l.registry.Plan(now, l.state) {
+		l.logShard(cmd.Shard)
+		l.propose(now, cmd, nil)
 	}
 }
 
@@ -314,17 +335,21 @@
 func (l *loop) process() {
 	for !l.failed && l.replica.HasReady() {
 		ready := l.replica.Ready()
-		if err := l.store.SaveReady(ready); err != nil {
-			l.fail(err)
+		var failure error
+		l.timed(workPersist, func() { failure = l.store.SaveReady(ready) })
+		if failure != nil {
+			l.fail(failure)
 			return
 		}
 		if ready.Snapshot != nil {
 			l.install(*ready.Snapshot)
 		}
-		l.send(ready.Messages)
-		l.applyAll(ready.Committed)
+		l.timed(workSend, func() { l.send(ready.Messages) })
+		l.timed(workApply, func() { l.applyAll(ready.Committed) })
 		l.replica.Advance(l.c.now(), ready)
-		l.compact()
+		if l.applied-l.compacted >= compactEvery {
+			l.timed(workCompact, l.compact)
+		}
 	}
 	l.fresh.applied(l.applied)
 	if !l.failed {
@@ -423,11 +448,8 @@
 	l.changed = make(chan struct{})
 }
 
-// compact replaces applied entries by a snapshot from time to time.
+// compact replaces applied entries by a snapshot.
 func (l *loop) compact() {
-	if l.applied-l.compacted < compactEvery {
-		return
-	}
 	data, err := l.state.Snapshot()
 	if err != nil {
 		l.logger.WithError(err).Error("snapshot cannot be written")
