Let changes and the control log pass heartbeats and watches

Change: two lanes.

TestChangeIsAcknowledgedWhileControlVMsAreBusy, TestBusyLeaderKeepsItsLease, TestCallsThatWereGivenUpAreNotRun.

--- a/internal/controller/beat.go
+++ b/internal/controller/beat.go
@@ -41,14 +41,21 @@
 
 // localView looks up a target in the state of this VM.
 func (c *Controller) localView(ctx context.Context, b registry.Beat) (localView, *errkind.Error) {
-	views := make(chan localView, 1)
-	c.loop.post(ctx, func() {
+	return ask(ctx, c.loop, beatLane(b), func(views chan<- localView) {
 		shard, _ := c.loop.state.Shard(b.Target.Service)
 		views <- localView{
 			nothingNew: c.loop.nothingNew(b), revision: shard.Revision, rows: registry.Held(shard, b.Target.Incarnation),
 		}
 	})
-	return await(ctx, views)
+}
+
+// beatLane puts targets that stop taking work before those that go on with it:
+// they wait for the acknowledgement before they end.
+func beatLane(b registry.Beat) lane {
+	if b.Target.Condition > fleet.Ready {
+		return urgent
+	}
+	return routine
 }
 
 // beatResult is an answer, or why there is none.
@@ -71,9 +78,7 @@
 	if t := req.Beat.Target; t.ID == "" || t.Condition < fleet.Left && (t.Service == "" || t.Address == "" || t.Slots < 1) {
 		return nil, errkind.New(errkind.BadRequest, "heartbeat of %q names no target to use", t.ID)
 	}
-	results := make(chan beatResult, 1)
-	c.loop.post(ctx, func() { results <- c.loop.beat(req) })
-	r, failure := await(ctx, results)
+	r, failure := ask(ctx, c.loop, beatLane(req.Beat), func(results chan<- beatResult) { results <- c.loop.beat(req) })
 	if failure != nil {
 		return nil, failure
 	}
--- /dev/null
+++ b/internal/controller/busy_test.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+)
+
+// keepBusy keeps the queue of a VM's control goroutine full with events of a
+// given cost until the test ends.
+func keepBusy(t *testing.T, c *Controller, cost time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var senders sync.WaitGroup
+	for range 8 {
+		senders.Go(func() {
+			for ctx.Err() == nil {
+				c.loop.post(ctx, routine, func() { time.Sleep(cost) })
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		senders.Wait()
+	})
+	for len(c.loop.events[routine]) < eventQueue {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a change of the operators that finds no answer for seconds
+// because heartbeats and watches wait for the control goroutine before it.
+func TestChangeIsAcknowledgedWhileControlVMsAreBusy(t *testing.T) {
+	v := startVMs(t)
+	_, follower := v.leader()
+	for _, c := range v.all {
+		keepBusy(t, c, 2*time.Millisecond)
+	}
+	for version := uint64(2); version < 6; version++ {
+		if failure := follower.Change(context.Background(), serviceChange(version)); failure != nil {
+			t.Errorf("version %d: %v", version, failure)
+		}
+	}
+}
+
+// Guards against a leader that loses its lease because answers of its followers
+// wait behind heartbeats and watches: the next leader inherits their load.
+func TestBusyLeaderKeepsItsLease(t *testing.T) {
+	v := startVMs(t)
+	leader, _ := v.leader()
+	keepBusy(t, leader, 2*time.Millisecond)
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		for _, c := range v.all {
+			if got := c.Leader(); got != leader.cfg.Addr {
+				t.Fatalf("%s follows %q, want the leader %s", c.cfg.Addr, got, leader.cfg.Addr)
+			}
+		}
+	}
+}
+
+// Guards against a queue that never drains: by the time a heartbeat or watch is
+// handled its sender has given up and sent the next one.
+func TestCallsThatWereGivenUpAreNotRun(t *testing.T) {
+	v := startVMs(t)
+	c := v.all[0]
+	release := make(chan struct{})
+	c.loop.post(context.Background(), routine, func() { <-release })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	ran := false
+	if _, failure := ask(ctx, c.loop, routine, func(results chan<- bool) { ran = true; results <- true }); failure == nil {
+		t.Fatal("a call was answered while the control goroutine was busy")
+	}
+	close(release)
+	if _, failure := ask(context.Background(), c.loop, routine, func(results chan<- bool) { results <- true }); failure != nil {
+		t.Fatal(failure)
+	}
+	if ran {
+		t.Error("a call was run after its caller had given up")
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -103,7 +103,7 @@
 	}
 	c.links = links
 	c.loop = newLoop(c)
-	c.metrics = newMetrics(cfg.Registry, func() int { return len(c.loop.events) })
+	c.metrics = newMetrics(cfg.Registry, func() int { return c.loop.events.length() })
 	if err := c.loop.open(); err != nil {
 		_ = links.Close()
 		return nil, err
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -23,17 +23,6 @@
 	errVotersMissing = errkind.New(errkind.NotLeader, "fewer replicas vote than the tolerated losses need")
 )
 
-// await returns the first value of a result, or an error when ctx ends.
-func await[T any](ctx context.Context, results <-chan T) (T, *errkind.Error) {
-	select {
-	case r := <-results:
-		return r, nil
-	case <-ctx.Done():
-		var zero T
-		return zero, errkind.Wrap(errkind.AnswerTimeout, ctx.Err(), "the control goroutine did not answer in time")
-	}
-}
-
 // leadChange commits a change of the operators as the leader.
 func (c *Controller) leadChange(ctx context.Context, payload []byte) ([]byte, error) {
 	var cmd fleet.Command
@@ -41,8 +30,7 @@
 		return nil, errkind.Wrap(errkind.BadRequest, err, "change cannot be read")
 	}
 	arrived := c.now()
-	done := make(chan *errkind.Error, 1)
-	c.loop.post(ctx, func() {
+	result, failure := ask(ctx, c.loop, urgent, func(done chan<- *errkind.Error) {
 		now := c.now()
 		switch {
 		case !c.loop.leading(now):
@@ -53,7 +41,6 @@
 			c.loop.propose(now, cmd, done)
 		}
 	})
-	result, failure := await(ctx, done)
 	if failure != nil {
 		c.metrics.changes.WithLabelValues(outcome(failure)).Inc()
 		return nil, failure
@@ -95,15 +82,13 @@
 		all []items.Item
 		err *errkind.Error
 	}
-	results := make(chan result, 1)
-	c.loop.post(ctx, func() {
+	r, failure := ask(ctx, c.loop, urgent, func(results chan<- result) {
 		if !c.loop.leading(c.now()) {
 			results <- result{err: errNotLeading}
 			return
 		}
 		results <- result{all: c.loop.state.Items().All()}
 	})
-	r, failure := await(ctx, results)
 	if failure != nil {
 		return nil, failure
 	}
@@ -192,7 +177,7 @@
 	if err := wire.Unmarshal(payload, &samples); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "samples cannot be read")
 	}
-	c.loop.post(ctx, func() {
+	c.loop.post(ctx, routine, func() {
 		if c.loop.registry == nil {
 			return
 		}
@@ -239,12 +224,11 @@
 
 // look returns what an entry lacks and a channel that closes at the next change.
 func (c *Controller) look(ctx context.Context, req watch.Request) (looked, *errkind.Error) {
-	results := make(chan looked, 1)
 	known := c.Known()
 	if watch.Digest(known) == req.Known {
 		known = nil
 	}
-	c.loop.post(ctx, func() {
+	return ask(ctx, c.loop, routine, func(results chan<- looked) {
 		l := c.loop
 		now := c.now()
 		a := watch.Answer{Known: known, Age: l.fresh.age(now)}
@@ -263,7 +247,6 @@
 		}
 		results <- looked{a, delta, l.changed}
 	})
-	return await(ctx, results)
 }
 
 // encode encodes the answer.
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"strings"
 	"time"
 
@@ -27,10 +26,6 @@
 	electionMin       = 500 * time.Millisecond
 	electionMax       = 750 * time.Millisecond
 	leaderLease       = 430 * time.Millisecond
-	// eventQueue bounds the events that wait for the control goroutine.
-	eventQueue = 1024
-	// eventBatch is the number of events handled before their effects are synced.
-	eventBatch = 64
 	// reopenInterval is the time between two attempts to use a failed disk again.
 	reopenInterval = 2 * time.Second
 	// compactEvery is the number of entries between two snapshots.
@@ -41,7 +36,7 @@
 type loop struct {
 	c      *Controller
 	logger log.Interface
-	events chan event
+	events queue
 	ended  chan struct{}
 	turn   turn
 
@@ -75,12 +70,6 @@
 	entrySeen map[string]time.Duration
 }
 
-// event is work for the control goroutine, queued at a time.
-type event struct {
-	run func()
-	at  time.Duration
-}
-
 // proposal waits for its entry to be committed.
 type proposal struct {
 	term uint64
@@ -90,7 +79,7 @@
 func newLoop(c *Controller) *loop {
 	return &loop{
 		c: c, logger: c.cfg.Logger,
-		events: make(chan event, eventQueue), ended: make(chan struct{}),
+		events: newQueue(), ended: make(chan struct{}),
 		state: fleet.NewState(), changed: make(chan struct{}), deltas: make(map[uint64]*sharedDelta),
 		candidates: make(map[string]candidate), waiting: make(map[uint64]proposal), entrySeen: make(map[string]time.Duration),
 	}
@@ -176,57 +165,6 @@
 	return nil
 }
 
-// post hands an event to the control goroutine. It reports false once that has
-// ended or ctx has.
-func (l *loop) post(ctx context.Context, run func()) bool {
-	select {
-	case l.events <- event{run: run, at: l.c.now()}:
-		return true
-	case <-l.ended:
-	case <-ctx.Done():
-	}
-	return false
-}
-
-// run handles events and ticks until ctx ends.
-func (l *loop) run(ctx context.Context) {
-	defer close(l.ended)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-l.events:
-			l.turn = turn{begun: l.c.now()}
-			l.handle(e)
-			l.handleBatch()
-		case <-ticker.C:
-			l.turn = turn{begun: l.c.now()}
-			l.tick()
-		}
-		l.process()
-		l.endTurn()
-	}
-}
-
-func (l *loop) handleBatch() {
-	for range eventBatch {
-		select {
-		case e := <-l.events:
-			l.handle(e)
-		default:
-			return
-		}
-	}
-}
-
-func (l *loop) handle(e event) {
-	l.turn.events++
-	l.c.metrics.wait.Observe((l.c.now() - e.at).Seconds())
-	l.timed(workEvent, e.run)
-}
-
 func (l *loop) tick() {
 	now := l.c.now()
 	if l.failed && now-l.failedAt >= reopenInterval {
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -76,7 +76,7 @@
 			targets = c.Known()
 		}
 		if leader == c.cfg.Addr {
-			c.loop.post(ctx, c.loop.recordEntries)
+			c.loop.post(ctx, routine, c.loop.recordEntries)
 			targets = nil
 		}
 		for _, peer := range targets {
@@ -235,7 +235,7 @@
 	c.mu.Lock()
 	c.heard[h.Peer.Addr] = c.now()
 	c.mu.Unlock()
-	c.loop.post(ctx, func() {
+	c.loop.post(ctx, routine, func() {
 		c.loop.candidates[h.Peer.Addr] = candidate{replicaID: h.ReplicaID, watchers: h.Watchers, at: c.now()}
 	})
 	return wire.Marshal(&helloReply{Leader: c.Leader(), Known: c.Known()})
@@ -247,7 +247,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.loop.post(ctx, func() {
+	c.loop.post(ctx, urgent, func() {
 		if c.loop.failed {
 			return
 		}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -33,7 +33,8 @@
 
 // metrics tell where a call to the control goroutine spends its time.
 type metrics struct {
-	wait     prometheus.Histogram
+	wait     *prometheus.HistogramVec
+	expired  *prometheus.CounterVec
 	work     *prometheus.HistogramVec
 	changes  *prometheus.CounterVec
 	commit   prometheus.Histogram
@@ -42,9 +43,12 @@
 
 func newMetrics(registry prometheus.Registerer, queued func() int) *metrics {
 	m := &metrics{
-		wait: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "flamingoreel_control_wait_seconds", Help: "Time of events in the queue of the control goroutine.", Buckets: waitBuckets,
-		}),
+		wait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "flamingoreel_control_wait_seconds", Help: "Time of events in the queue of the control goroutine by lane.", Buckets: waitBuckets,
+		}, []string{"lane"}),
+		expired: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingoreel_control_expired_total", Help: "Events that were dropped because their sender no longer waited, by lane.",
+		}, []string{"lane"}),
 		work: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "flamingoreel_control_work_seconds", Help: "Time that the control goroutine spends on one piece of work.", Buckets: waitBuckets,
 		}, []string{"work"}),
@@ -59,7 +63,7 @@
 		}, []string{"outcome"}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.wait, m.work, m.changes, m.commit, m.answered, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		registry.MustRegister(m.wait, m.expired, m.work, m.changes, m.commit, m.answered, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "flamingoreel_control_queue_length", Help: "Events that wait for the control goroutine.",
 		}, func() float64 { return float64(queued()) }))
 	}
@@ -105,7 +109,7 @@
 func (l *loop) endTurn() {
 	if took := l.c.now() - l.turn.begun; took >= slowTurn {
 		l.logger.WithFields(log.Fields{
-			"took": took, "events": l.turn.events, "queued": len(l.events), "longest": l.turn.longest, "longest_time": l.turn.longestTime,
+			"took": took, "events": l.turn.events, "queued": l.events.length(), "longest": l.turn.longest, "longest_time": l.turn.longestTime,
 		}).Warn("control goroutine was busy")
 	}
 }
