Find a current control VM while several are cut off

Cause, from the log of its entry: the entry asks one control VM at a time. One that is cut off holds the watch for 0.7 s although its own state is old, one that is silent for 1.7 s, and the next one in turn may be cut off as well: the state was 3.1 s old when the entry reached a current one.

Ruled out: a late commit (acknowledged after 0.08 s), a slow link (the answer with the change took 0.1 s), and a hung connection (no call failed).

Change: a control VM answers a watch as soon as its state is too old for the entry.

TestChangeIsInForceWhileControlVMsAreCutOff, TestStaleControlVMAnswersAtOnce.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -103,28 +103,28 @@
 // entry whose target lost a key waits 120 ms for news.
 const batchTime = 30 * time.Millisecond
 
-// watchReceived answers an entry once there is something new or the wait ends.
+// watchReceived answers an entry once there is something new, the wait ends or the
+// state of this VM gets too old for it.
 func (c *Controller) watchReceived(ctx context.Context, _ string, payload []byte) ([]byte, error) {
 	var req watch.Request
 	if err := wire.Unmarshal(payload, &req); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "watch cannot be read")
 	}
 	c.noteWatcher(req)
-	timer := time.NewTimer(min(req.Wait, watch.MaxWait))
-	defer timer.Stop()
+	end := c.now() + min(req.Wait, watch.MaxWait)
 	for {
 		r, failure := c.look(ctx, req)
 		if failure != nil {
 			return nil, failure
 		}
-		if !r.answer.Delta.Empty() || r.answer.Age == watch.Unknown {
+		wait := min(end-c.now(), watch.StaleAge-r.answer.Age)
+		if !r.answer.Delta.Empty() || wait <= 0 {
 			return r.encode()
 		}
 		select {
 		case <-r.changed:
 			clock.Pause(ctx, batchTime)
-		case <-timer.C:
-			return r.encode()
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/controller/lead_test.go
+++ b/internal/controller/lead_test.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
@@ -53,3 +55,47 @@
 		t.Errorf("got %+v, %v after a change, want both items", got.Delta, err)
 	}
 }
+
+// Guards against entries that are held by a control VM which is cut off from the
+// leader: its answer without news sends them on to another one.
+func TestStaleControlVMAnswersAtOnce(t *testing.T) {
+	v := startVMs(t)
+	_, follower := v.leader()
+	for _, c := range v.all {
+		if c != follower {
+			c.Close()
+		}
+	}
+	revision, failure := ask(context.Background(), follower.loop, routine, func(results chan<- uint64) {
+		results <- follower.loop.state.Revision()
+	})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	var answer watch.Answer
+	watchOnce := func() time.Duration {
+		payload, err := wire.Marshal(&watch.Request{Entry: "e", Revision: revision, Wait: watch.MaxWait})
+		if err != nil {
+			t.Fatal(err)
+		}
+		begun := time.Now()
+		data, err := follower.watchReceived(context.Background(), "e", payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := watch.Decode(data, &answer); err != nil {
+			t.Fatal(err)
+		}
+		return time.Since(begun)
+	}
+	cut := time.Now()
+	for answer.Age < watch.StaleAge {
+		watchOnce()
+	}
+	if took := time.Since(cut); took > watch.StaleAge+heartbeatInterval {
+		t.Errorf("an entry learns after %v that the state is stale, want about %v", took, watch.StaleAge)
+	}
+	if took := watchOnce(); took > watch.MaxWait/2 {
+		t.Errorf("a stale control VM held a watch for %v", took)
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,9 +26,6 @@
 	// staleGrace is how long an entry without any state looks for one that is up to
 	// date: time to ask three control VMs.
 	staleGrace = 300 * time.Millisecond
-	// leaderless is the age of the leader's word above which the entry turns to
-	// another control VM.
-	leaderless = 1200 * time.Millisecond
 )
 
 // follower is the state of the goroutine that follows a control VM.
@@ -37,7 +34,7 @@
 	peers *peers
 	// digest is that of the control VMs in the last answer.
 	digest uint64
-	// lost says that the last watch failed.
+	// lost says that the entry follows no control VM whose state is current.
 	lost bool
 	// staleSince is when a control VM without the leader's word answered an entry
 	// that has no state yet, or 0.
@@ -55,6 +52,9 @@
 			f.peers.learn(*seeds)
 		}
 		good := f.once(ctx)
+		if good {
+			f.noteRegained()
+		}
 		f.peers.result(g.now(), good)
 		if !good {
 			clock.Pause(ctx, watchPause)
@@ -71,31 +71,47 @@
 	g.seeds.Store(&peers)
 }
 
-// once does one watch and reports whether to stay with the control VM.
+// once does one watch and reports whether the entry follows a control VM whose
+// state is current.
 func (f *follower) once(ctx context.Context) bool {
-	g := f.g
 	peer, trial := f.peers.current()
-	asked := g.now()
-	answer, err := f.ask(ctx, peer.Addr, trial)
-	if err != nil {
-		if !f.lost && !trial {
-			g.cfg.Logger.WithField("control", peer.Addr).WithError(err).Warn("control VM lost")
-			f.lost = true
+	if trial {
+		return f.consider(<-f.ask(ctx, peer.Addr, 0, trialTimeout))
+	}
+	first := f.ask(ctx, peer.Addr, watch.MaxWait, watch.MaxWait+watchTimeout)
+	var late <-chan time.Time
+	if f.g.Ready() {
+		late = time.After(watch.MaxWait + searchAfter)
+	}
+	select {
+	case r := <-first:
+		if f.consider(r) {
+			return true
 		}
-		return false
+		first = nil
+	case <-late:
+	}
+	return f.search(ctx, peer.Addr, first)
+}
+
+// consider takes in an answer and reports whether its sender's state is current.
+func (f *follower) consider(r reply) bool {
+	var answer watch.Answer
+	if r.err == nil {
+		r.err = watch.Decode(r.data, &answer)
 	}
-	if f.lost {
-		g.cfg.Logger.WithField("control", peer.Addr).Info("control VM regained")
+	if r.err != nil {
+		f.g.cfg.Logger.WithField("control", r.from).WithError(r.err).Debug("watch failed")
+		return false
 	}
-	f.lost = false
-	if f.usable(peer.Addr, answer, g.now()) {
-		g.take(answer, asked)
+	if f.usable(r.from, answer, f.g.now()) {
+		f.g.take(answer, r.asked)
 	}
 	if len(answer.Known) > 0 {
 		f.digest = watch.Digest(answer.Known)
 		f.peers.learn(answer.Known)
 	}
-	return answer.Age < leaderless
+	return answer.Age < watch.StaleAge
 }
 
 // usable reports whether the state of an answer may be put in force. One that may
@@ -105,7 +121,7 @@
 // leader is elected; a second replica that says so ends the search.
 func (f *follower) usable(from string, answer watch.Answer, now time.Duration) bool {
 	switch {
-	case answer.Age < leaderless:
+	case answer.Age < watch.StaleAge:
 		return true
 	case f.g.Ready():
 		return answer.Age != watch.Unknown
@@ -121,30 +137,37 @@
 	return now-f.staleSince >= staleGrace
 }
 
-// ask sends one watch. A trial does not wait for news.
-func (f *follower) ask(ctx context.Context, addr string, trial bool) (watch.Answer, error) {
+// reply is what came of one watch: an encoded answer or an error.
+type reply struct {
+	from  string
+	asked time.Duration
+	data  []byte
+	err   error
+}
+
+// ask sends one watch and returns where its reply comes. The VM holds its answer
+// for a time while there is no news.
+func (f *follower) ask(ctx context.Context, addr string, wait, timeout time.Duration) <-chan reply {
 	g := f.g
-	wait, timeout := watch.MaxWait, watch.MaxWait+watchTimeout
-	if trial {
-		wait, timeout = 0, trialTimeout
-	}
-	var answer watch.Answer
+	replies := make(chan reply, 1)
+	r := reply{from: addr, asked: g.now()}
 	payload, err := wire.Marshal(&watch.Request{
 		Entry: g.cfg.Addr, Region: g.cfg.Region, DataCentre: g.cfg.DataCentre, Revision: g.view.Load().Revision(), Wait: wait,
 		Known: f.digest, Samples: g.takeSamples(),
 	})
 	if err != nil {
-		return answer, err
+		r.err = err
+		replies <- r
+		return replies
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	g.links.SetPeer(addr, addr)
-	data, err := g.links.Call(ctx, addr, watch.Method, payload)
-	if err != nil {
-		return answer, err
-	}
-	err = watch.Decode(data, &answer)
-	return answer, err
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		r.data, r.err = g.links.Call(ctx, addr, watch.Method, payload)
+		replies <- r
+	}()
+	return replies
 }
 
 // take puts the news of an answer in force. The answer shows the leader's state
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/items"
 	"github.com/flamingoreel/flamingoreel/internal/link"
 	"github.com/flamingoreel/flamingoreel/internal/watch"
+	"github.com/flamingoreel/flamingoreel/internal/wire"
 )
 
 // freeAddr returns a loopback address that was free a moment ago.
@@ -97,3 +99,105 @@
 		t.Errorf("the entry serves by revision %d", view.Revision())
 	}
 }
+
+// How a control VM that is cut off from the leader looks to an entry.
+const (
+	connected = iota
+	// silent takes watches and never answers.
+	silent
+	// stale answers after the wait with a state that gets older.
+	stale
+)
+
+// cuttable is a control VM that can be cut off.
+type cuttable struct {
+	addr string
+	mode atomic.Int32
+	cut  atomic.Int64
+	// answer is what it answers while it is connected.
+	answer atomic.Pointer[watch.Answer]
+}
+
+func startCuttable(t *testing.T, answer watch.Answer) *cuttable {
+	t.Helper()
+	c := &cuttable{addr: freeAddr(t)}
+	c.answer.Store(&answer)
+	node, err := link.Listen(watch.LinkConfig(c.addr, 1, &log.Logger{Handler: discard.New()}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.Handle(watch.Method, c.watched)
+	node.Serve()
+	t.Cleanup(func() { _ = node.Close() })
+	return c
+}
+
+func (c *cuttable) watched(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var req watch.Request
+	if err := wire.Unmarshal(payload, &req); err != nil {
+		return nil, err
+	}
+	answer := *c.answer.Load()
+	if answer.Delta.To <= req.Revision {
+		answer.Delta = fleet.Delta{From: req.Revision, To: req.Revision}
+		time.Sleep(req.Wait)
+	}
+	switch c.mode.Load() {
+	case silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case stale:
+		answer.Age = time.Duration(time.Now().UnixNano() - c.cut.Load())
+	}
+	return watch.Encode(&answer)
+}
+
+func (c *cuttable) cutOff(mode int32) {
+	c.cut.Store(time.Now().UnixNano())
+	c.mode.Store(mode)
+}
+
+// Guards against a change that is in force too late where several control VMs
+// are cut off: an entry that asks one after the other and gives each the time of
+// a whole watch needs the sum of them.
+func TestChangeIsInForceWhileControlVMsAreCutOff(t *testing.T) {
+	const inForce = 2 * time.Second
+	for name, modes := range map[string][]int32{"silent": {silent, silent}, "stale": {stale, stale}, "both": {stale, silent}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var all []*cuttable
+			for range 5 {
+				all = append(all, startCuttable(t, stateWith(0, 5, "stays")))
+			}
+			g, err := New(Config{
+				Addr: freeAddr(t), Region: "r", DataCentre: "d", Dialect: testDialect{}, Logger: &log.Logger{Handler: discard.New()},
+				Seeds: []string{all[0].addr, all[1].addr, all[2].addr, all[3].addr, all[4].addr},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(g.Close)
+			for !g.Ready() {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond) // The next watch is under way.
+			changed := stateWith(0, 9, "stays")
+			for i, c := range all {
+				if i < len(modes) {
+					c.cutOff(modes[i])
+				} else {
+					c.answer.Store(&changed)
+				}
+			}
+			begun := time.Now()
+			for g.view.Load().Revision() != 9 && time.Since(begun) < 2*inForce {
+				time.Sleep(time.Millisecond)
+			}
+			took := time.Since(begun)
+			if took > inForce {
+				t.Errorf("the change is in force after %v, want %v", took, inForce)
+			}
+			t.Logf("in force after %v", took)
+		})
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -42,6 +42,23 @@
 // current returns the control VM to ask and whether that is a trial.
 func (p *peers) current() (watch.Peer, bool) { return p.list[p.at], p.trial }
 
+// others returns the addresses of the VMs beside the current one, in the order in
+// which they are asked.
+func (p *peers) others() []string {
+	var addrs []string
+	for i := 1; i < len(p.list); i++ {
+		addrs = append(addrs, p.list[(p.at+i)%len(p.list)].Addr)
+	}
+	return addrs
+}
+
+// follow makes a known VM the current one.
+func (p *peers) follow(addr string) {
+	if i := p.index(addr); i >= 0 {
+		p.at = i
+	}
+}
+
 // result takes in whether the current VM is worth following and chooses the one
 // to ask next.
 func (p *peers) result(now time.Duration, good bool) {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -24,10 +24,14 @@
 	MethodReplica = "replica"
 )
 
-// MaxWait is how long a control VM holds an answer without news. It bounds how
-// long an entry follows a control VM that lost the leader.
+// MaxWait is how long a control VM holds an answer without news.
 const MaxWait = 700 * time.Millisecond
 
+// StaleAge is the age of a state above which an entry turns to another control
+// VM. It is above an election and below half of the time within which a change
+// must be in force.
+const StaleAge = 1200 * time.Millisecond
+
 // Unknown is an age that is not known.
 const Unknown = time.Duration(1<<63 - 1)
 
