Let a VM without a working replica find the next leader

What callers would see: every call through one control VM answered 503 after 0.95 s, for as long as its storage fails or until the leader adds it as a member, which it never does, because the VM introduces itself only to the leader that it knows.

Cause: a VM whose replica hears nothing keeps the leader that it knows as long as that VM answers introductions, even if the answer names another leader. Change: it believes the VM that it takes for the leader when that one names another. The replica's own word goes first, as before.

--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -111,8 +111,18 @@
 		return
 	}
 	c.learn(reply.Known)
-	if reply.Leader != "" && reply.Leader != c.cfg.Addr && c.Leader() == "" {
-		c.leader.Store(&reply.Leader)
+	c.hear(addr, reply.Leader)
+}
+
+// hear takes in which VM another one takes for the leader. The replica knows
+// better where it has one; a VM without one would never learn that the leader
+// which it follows no longer leads.
+func (c *Controller) hear(from, leader string) {
+	if leader == "" || leader == c.cfg.Addr {
+		return
+	}
+	if known := c.leader.Load(); known == nil || *known == "" || *known == from && leader != from {
+		c.leader.CompareAndSwap(known, &leader)
 	}
 }
 
--- a/internal/controller/members_test.go
+++ b/internal/controller/members_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -74,3 +75,28 @@
 		t.Errorf("got %+v, want five voters", m)
 	}
 }
+
+// Guards against a VM whose storage failed, or that is not a member yet, and that
+// goes on passing all calls to a VM which no longer leads.
+func TestVMWithoutAReplicaFindsTheNextLeader(t *testing.T) {
+	v := startVMs(t)
+	leader, failed := v.leader()
+	var former *Controller
+	for _, c := range v.all {
+		if c != leader && c != failed {
+			former = c
+		}
+	}
+	_, failure := ask(context.Background(), failed.loop, urgent, func(results chan<- bool) {
+		failed.loop.failed, failed.loop.failedAt = true, failed.now()+time.Hour
+		failed.leader.Store(&former.cfg.Addr)
+		results <- true
+	})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	v.await("the VM follows the leader", 2*helloInterval, func() bool { return failed.Leader() == leader.cfg.Addr })
+	if failure := failed.Change(context.Background(), serviceChange(2)); failure != nil {
+		t.Error(failure)
+	}
+}
