End a call to a leader that is replaced

What callers would see: changes and heartbeats that fail during a change of leadership although the next leader is known. Change: the call ends when the VM learns of another leader and goes there.

--- a/internal/controller/busy_test.go
+++ b/internal/controller/busy_test.go
@@ -5,6 +5,10 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/link"
+	"github.com/flamingoreel/flamingoreel/internal/watch"
 )
 
 // keepBusy keeps the queue of a VM's control goroutine full with events of a
@@ -81,3 +85,34 @@
 		t.Error("a call was run after its caller had given up")
 	}
 }
+
+// Guards against a call that waits for a leader which froze or is cut off while the
+// next one is known: it holds a change for nearly all of the time that it has.
+func TestCallTurnsToTheNextLeader(t *testing.T) {
+	v := startVMs(t)
+	leader, follower := v.leader()
+	frozen, err := link.Listen(watch.LinkConfig(freeAddrs(t, 1)[0], 9, follower.cfg.Logger))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = frozen.Close() }()
+	called := make(chan struct{}, 1)
+	frozen.Handle(methodChange, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		called <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	frozen.Serve()
+	follow(t, follower, frozen.Addr())
+	answered := make(chan *errkind.Error, 1)
+	begun := time.Now()
+	go func() { answered <- follower.Change(context.Background(), serviceChange(2)) }()
+	<-called
+	follower.leader.set(leader.cfg.Addr)
+	if failure := <-answered; failure != nil {
+		t.Error(failure)
+	}
+	if took := time.Since(begun); took > callTimeout/2 {
+		t.Errorf("the change took %v", took)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -69,8 +68,7 @@
 	loop  *loop
 
 	metrics *metrics
-	// leader is the link address of the leader that this VM follows.
-	leader atomic.Pointer[string]
+	leader  knownLeader
 
 	mu sync.Mutex
 	// known holds the control VMs by address.
@@ -257,7 +255,7 @@
 	failure = errkind.New(errkind.NotLeader, "the control leader is not known")
 	for ctx.Err() == nil {
 		attempts++
-		leader := c.Leader()
+		leader, changed := c.leader.follow()
 		var data []byte
 		var err error
 		switch leader {
@@ -266,7 +264,7 @@
 		case c.cfg.Addr:
 			data, err = local(ctx, payload)
 		default:
-			data, err = c.callVM(ctx, leader, method, payload)
+			data, err = c.callVM(ctx, leader, changed, method, payload)
 		}
 		if err == nil {
 			return data, attempts, nil
@@ -280,17 +278,23 @@
 	return nil, attempts, failure
 }
 
-func (c *Controller) callVM(ctx context.Context, addr, method string, payload []byte) ([]byte, error) {
+// callVM calls the leader and gives up once that is replaced: one that froze or is
+// cut off would hold the call for all of its time.
+func (c *Controller) callVM(ctx context.Context, addr string, replaced <-chan struct{}, method string, payload []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-replaced:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	c.links.SetPeer(addr, addr)
 	return c.links.Call(ctx, addr, method, payload)
 }
 
 // Leader returns the link address of the leader, or "" when none is known.
 func (c *Controller) Leader() string {
-	if p := c.leader.Load(); p != nil {
-		return *p
-	}
-	return ""
+	return c.leader.get()
 }
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -231,7 +231,7 @@
 	// outside the membership learns it from introductions only.
 	hint := leader == "" && l.replica.Role() == consensus.Follower && l.c.Leader() != l.c.cfg.Addr
 	if leader != l.c.Leader() && !hint {
-		l.c.leader.Store(&leader)
+		l.c.leader.set(leader)
 		l.logger.WithFields(log.Fields{"leader": leader, "term": l.replica.Term()}).Info("control leader changed")
 	}
 }
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -121,18 +121,15 @@
 	if leader == "" || leader == c.cfg.Addr {
 		return
 	}
-	if known := c.leader.Load(); known == nil || *known == "" || *known == from && leader != from {
-		c.leader.CompareAndSwap(known, &leader)
+	if known := c.Leader(); known == "" || known == from {
+		c.leader.replace(known, leader)
 	}
 }
 
 // forgetLeader drops a leader that does not answer, so that the VM introduces
 // itself to all others again. The replica sets it anew when it hears from it.
 func (c *Controller) forgetLeader(addr string) {
-	if c.Leader() == addr {
-		none := ""
-		c.leader.Store(&none)
-	}
+	c.leader.replace(addr, "")
 }
 
 func (c *Controller) self() watch.Peer {
--- a/internal/controller/members_test.go
+++ b/internal/controller/members_test.go
@@ -87,14 +87,7 @@
 			former = c
 		}
 	}
-	_, failure := ask(context.Background(), failed.loop, urgent, func(results chan<- bool) {
-		failed.loop.failed, failed.loop.failedAt = true, failed.now()+time.Hour
-		failed.leader.Store(&former.cfg.Addr)
-		results <- true
-	})
-	if failure != nil {
-		t.Fatal(failure)
-	}
+	follow(t, failed, former.cfg.Addr)
 	v.await("the VM follows the leader", 2*helloInterval, func() bool { return failed.Leader() == leader.cfg.Addr })
 	if failure := failed.Change(context.Background(), serviceChange(2)); failure != nil {
 		t.Error(failure)
--- a/internal/controller/vms_test.go
+++ b/internal/controller/vms_test.go
@@ -161,3 +161,15 @@
 	}
 	return count
 }
+
+// follow lets a VM whose replica has failed follow a leader.
+func follow(t *testing.T, c *Controller, leader string) {
+	t.Helper()
+	if _, failure := ask(context.Background(), c.loop, urgent, func(results chan<- bool) {
+		c.loop.failed, c.loop.failedAt = true, c.now()+time.Hour
+		c.leader.set(leader)
+		results <- true
+	}); failure != nil {
+		t.Fatal(failure)
+	}
+}
