Keep the time for which votes are missing over a change of leader

What operators would see: a change refused for up to 3 s after each change of leader while fewer replicas vote than the tolerated losses need, which together with the refusals before it is longer than the 4 s they are told to wait.

Cause: only the leader kept since when votes are missing. Besides, after it had removed the old replica of a wiped VM it gave the new one its vote 0.3 s later, at its next look, and refused changes meanwhile. Change: each VM keeps the time from the committed memberships, and the leader goes on to the next change of the membership once one is committed.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -57,8 +57,9 @@
 	deltas map[uint64]*sharedDelta
 
 	registry *registry.Registry
-	// shortSince is when fewer replicas began to vote than the tolerated losses
-	// need; 0 while there are enough.
+	// shortSince is when this VM saw first that fewer replicas vote than the
+	// tolerated losses need; 0 while there are enough. Followers keep it as well, so
+	// that the next leader does not begin anew.
 	shortSince time.Duration
 	lastPlan   time.Duration
 	lastMember time.Duration
@@ -174,6 +175,7 @@
 		return
 	}
 	l.replica.Tick(now)
+	l.enoughVoters(now)
 	l.watchLeadership(now)
 	if !l.leading(now) {
 		return
@@ -209,7 +211,6 @@
 	case leads && l.registry == nil:
 		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Info("control leadership gained")
 		l.registry = registry.New(now)
-		l.shortSince = 0
 	case !leads && l.registry != nil:
 		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Warn("control leadership lost")
 		l.registry = nil
@@ -353,7 +354,7 @@
 	for _, e := range entries {
 		l.applied = e.Index
 		if e.Type != consensus.EntryCommand {
-			l.logMembership(e)
+			l.membershipChanged(e)
 			continue
 		}
 		result := l.state.Apply(e.Index, e.Data)
@@ -371,12 +372,20 @@
 	}
 }
 
-func (l *loop) logMembership(e consensus.Entry) {
-	if m, err := consensus.DecodeMembership(e); err == nil {
-		l.logger.WithFields(log.Fields{
-			"index": e.Index, "voters": strings.Join(m.Voters, ","), "learners": strings.Join(m.Learners, ","),
-		}).Info("membership changed")
+// membershipChanged notes a committed membership and lets the leader go on to the
+// next one at once: until a replaced replica's successor votes, changes wait.
+func (l *loop) membershipChanged(e consensus.Entry) {
+	m, err := consensus.DecodeMembership(e)
+	if err != nil {
+		return
 	}
+	l.lastMember = 0
+	if l.enough(m) {
+		l.shortSince = 0
+	}
+	l.logger.WithFields(log.Fields{
+		"index": e.Index, "voters": strings.Join(m.Voters, ","), "learners": strings.Join(m.Learners, ","),
+	}).Info("membership changed")
 }
 
 // notify wakes the watches.
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -30,8 +30,8 @@
 	// lostVoter is the silence after which a waiting replica takes a voter's
 	// place. It is above a restart and a freeze of a few seconds.
 	lostVoter = 6 * time.Second
-	// formingTime is how long a leader waits for the voters that the tolerated
-	// losses need before it confirms changes with fewer.
+	// formingTime is how long changes wait for the voters that the tolerated losses
+	// need before they are confirmed with fewer.
 	formingTime = 3 * time.Second
 	// maxLearners bounds the replicas that receive the log without a vote.
 	maxLearners = 2
@@ -270,7 +270,6 @@
 // reconcileMembers brings the members towards the wanted number of voters, one
 // change at a time.
 func (l *loop) reconcileMembers(now time.Duration) {
-	l.enoughVoters(now) // notes since when votes are missing
 	status := l.replica.Status(now)
 	next, reason := nextMembership(memberView{
 		current: l.replica.Membership(), self: l.replicaID, wanted: 2*l.c.cfg.Tolerated + 1,
@@ -357,10 +356,15 @@
 	return m, ""
 }
 
+// enough reports whether as many replicas vote as the tolerated losses need.
+func (l *loop) enough(m consensus.Membership) bool {
+	return len(m.Voters) > 2*l.c.cfg.Tolerated
+}
+
 // enoughVoters reports whether changes may be confirmed: as many replicas as
 // the tolerated losses need vote, or they were missing for long enough.
 func (l *loop) enoughVoters(now time.Duration) bool {
-	if len(l.replica.Membership().Voters) > 2*l.c.cfg.Tolerated {
+	if l.enough(l.replica.Membership()) {
 		l.shortSince = 0
 		return true
 	}
--- a/internal/controller/members_test.go
+++ b/internal/controller/members_test.go
@@ -93,3 +93,56 @@
 		t.Error(failure)
 	}
 }
+
+// Guards against changes that wait for missing votes again with each new leader:
+// the waits add up to more than operators are told to wait.
+func TestNextLeaderDoesNotWaitForMissingVotesAnew(t *testing.T) {
+	// Three replicas vote where the loss of two is to be borne, and no more come.
+	v := startVMsFor(t, 2)
+	leader, _ := v.leader()
+	leader.Close()
+	v.all = slices.DeleteFunc(v.all, func(c *Controller) bool { return c == leader })
+	next, _ := v.leader()
+	begun := time.Now()
+	v.await("a change is accepted", 2*formingTime, func() bool {
+		return next.Change(context.Background(), serviceChange(2)) == nil
+	})
+	if took := time.Since(begun); took > formingTime/2 {
+		t.Errorf("the next leader accepted a change after %v", took)
+	}
+}
+
+// Guards against changes that are refused for longer than it takes to give the
+// new replica of a wiped VM its vote.
+func TestVoteOfAWipedVMIsMissingOnlyBriefly(t *testing.T) {
+	v := startVMs(t)
+	_, wiped := v.leader()
+	wiped.Close()
+	cfg := wiped.cfg
+	cfg.DataDir, cfg.Bootstrap, cfg.Registry = t.TempDir(), false, nil
+	again, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(again.Close)
+	var removed, added time.Time
+	v.await("the new replica votes", 10*time.Second, func() bool {
+		removed, added = v.proposed("identity replaced"), v.proposed("replica caught up")
+		return !removed.IsZero() && added.After(removed)
+	})
+	if took := added.Sub(removed); took > memberInterval/2 {
+		t.Errorf("a vote was missing for %v", took)
+	}
+}
+
+// proposed returns when a change of the membership was last proposed for a reason.
+func (v *vms) proposed(reason string) (at time.Time) {
+	v.logs.mu.Lock()
+	defer v.logs.mu.Unlock()
+	for _, e := range v.logs.to.Entries {
+		if e.Message == "membership change proposed" && e.Fields["reason"] == reason {
+			at = e.Timestamp
+		}
+	}
+	return at
+}
--- a/internal/controller/vms_test.go
+++ b/internal/controller/vms_test.go
@@ -40,6 +40,13 @@
 // startVMs starts the three first voters of a deployment that bears the loss of
 // one, and waits for their leader.
 func startVMs(t *testing.T) *vms {
+	t.Helper()
+	return startVMsFor(t, 1)
+}
+
+// startVMsFor starts the three first voters of a deployment that is to bear the
+// loss of some, and waits until it accepts changes.
+func startVMsFor(t *testing.T, tolerated int) *vms {
 	t.Helper()
 	v := &vms{t: t, logs: &lockedLogs{to: memory.New()}}
 	logger := &log.Logger{Handler: v.logs, Level: log.InfoLevel}
@@ -48,7 +55,7 @@
 		registry := prometheus.NewRegistry()
 		c, err := New(Config{
 			Addr: addr, CallAddr: addr, Region: fmt.Sprintf("region-%d", i), DataCentre: fmt.Sprintf("dc-%d", i),
-			Seeds: seeds, DataDir: t.TempDir(), Bootstrap: true, Tolerated: 1, Seed: uint64(i + 1),
+			Seeds: seeds, DataDir: t.TempDir(), Bootstrap: true, Tolerated: tolerated, Seed: uint64(i + 1),
 			Logger: logger, Registry: registry,
 		})
 		if err != nil {
