Refuse requests that crash the targets which run them

What callers would see: a request that ends each target which begins it comes again at any entry and takes down one target after another.

The counts of the dispatchers are used for entries as well, with a rule for VMs that share their targets with others: an entry that loses a connection with a request under way connects once more, and a refused connection makes the request suspect; three ended targets make it refused, any response clears it.

TestLostRequestsAreNoCrashers, TestAnsweredRequestIsNoLongerSuspected, TestEntryRefusesWhatOthersSawCrashTargets, TestSuspicionsReachTheEntriesOfAllControlVMs.

--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -14,6 +14,10 @@
 	// crashesToRefuse is the number of different crashes after which a
 	// fingerprint is refused.
 	crashesToRefuse = 2
+	// crashesInCompany is the number of different crashes after which a
+	// fingerprint is refused that never was the only one in flight, where nobody
+	// sees all requests of a target. One that ran to its end anywhere is cleared.
+	crashesInCompany = 3
 	// maxCrashes bounds the remembered crashes of one fingerprint.
 	maxCrashes = 4
 	// maxFingerprints bounds the remembered fingerprints, and maxDrained the
@@ -38,6 +42,9 @@
 // A fingerprint with two different crashes, at least one of them certain, is
 // refused. It is safe for concurrent use.
 type Crashes struct {
+	// inCompany says that three crashes that are not certain suffice as well.
+	inCompany bool
+
 	mu      sync.Mutex
 	records map[uint64]*list.Element // of *suspect
 	byAge   *list.List               // least recently crashed first
@@ -67,6 +74,14 @@
 	return &Crashes{records: make(map[uint64]*list.Element), byAge: list.New()}
 }
 
+// NewCrashesInCompany returns empty counts for VMs that share their targets with
+// others and so never know that a request was the only one in flight.
+func NewCrashesInCompany() *Crashes {
+	c := NewCrashes()
+	c.inCompany = true
+	return c
+}
+
 // Crash records that an incarnation of a target crashed with the given
 // fingerprints in flight. A single one is certain, several are suspects.
 // Further reports of the same crash never turn a suspect into a certain one.
@@ -177,6 +192,9 @@
 	if record == nil || len(record.crashes) < crashesToRefuse {
 		return false
 	}
+	if c.inCompany && len(record.crashes) >= crashesInCompany {
+		return true
+	}
 	return slices.ContainsFunc(record.crashes, func(k crash) bool { return k.certain })
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -58,6 +59,8 @@
 	methodChange = "change"
 	methodRead   = "read"
 	methodSample = "sample"
+
+	methodSuspicions = "suspicions"
 )
 
 // Controller is a running control VM.
@@ -68,7 +71,9 @@
 	loop  *loop
 
 	metrics *metrics
-	leader  knownLeader
+
+	suspicions suspicions
+	leader     knownLeader
 
 	mu sync.Mutex
 	// known holds the control VMs by address.
@@ -89,7 +94,7 @@
 	c := &Controller{
 		cfg: cfg, clock: clock.Start(),
 		known: make(map[string]watch.Peer), watchers: make(map[string]watcher), heard: make(map[string]time.Duration),
-		samples: make(map[string]registry.Samples),
+		samples: make(map[string]registry.Samples), suspicions: suspicions{origin: rand.Uint64()},
 	}
 	for _, seed := range cfg.Seeds {
 		c.known[seed] = watch.Peer{Addr: seed}
@@ -144,6 +149,7 @@
 		return c.leadRead(ctx)
 	})
 	c.links.Handle(methodSample, c.samplesReceived)
+	c.links.Handle(methodSuspicions, c.suspicionsReceived)
 	c.links.Handle(watch.Method, c.watchReceived)
 }
 
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -111,6 +111,7 @@
 		return nil, errkind.Wrap(errkind.BadRequest, err, "watch cannot be read")
 	}
 	c.noteWatcher(req)
+	c.passSuspicions(req.Suspicions)
 	end := c.now() + min(req.Wait, watch.MaxWait)
 	for {
 		r, failure := c.look(ctx, req)
@@ -119,6 +120,7 @@
 		}
 		wait := min(end-c.now(), watch.StaleAge-r.answer.Age)
 		if !r.answer.Delta.Empty() || wait <= 0 {
+			r.answer.Suspicions, r.answer.Heard = c.suspicions.since(req.Heard)
 			return r.encode()
 		}
 		select {
--- a/internal/controller/lead_test.go
+++ b/internal/controller/lead_test.go
@@ -73,29 +73,19 @@
 		t.Fatal(failure)
 	}
 	var answer watch.Answer
-	watchOnce := func() time.Duration {
-		payload, err := wire.Marshal(&watch.Request{Entry: "e", Revision: revision, Wait: watch.MaxWait})
-		if err != nil {
-			t.Fatal(err)
-		}
+	ask := func() time.Duration {
 		begun := time.Now()
-		data, err := follower.watchReceived(context.Background(), "e", payload)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := watch.Decode(data, &answer); err != nil {
-			t.Fatal(err)
-		}
+		answer = watchOnce(t, follower, watch.Request{Entry: "e", Revision: revision, Wait: watch.MaxWait})
 		return time.Since(begun)
 	}
 	cut := time.Now()
 	for answer.Age < watch.StaleAge {
-		watchOnce()
+		ask()
 	}
 	if took := time.Since(cut); took > watch.StaleAge+heartbeatInterval {
 		t.Errorf("an entry learns after %v that the state is stale, want about %v", took, watch.StaleAge)
 	}
-	if took := watchOnce(); took > watch.MaxWait/2 {
+	if took := ask(); took > watch.MaxWait/2 {
 		t.Errorf("a stale control VM held a watch for %v", took)
 	}
 }
--- /dev/null
+++ b/internal/gateway/crashers_test.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/flamingoreel/flamingoreel/internal/admission"
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
+)
+
+// crashedBy returns a target that ends as a whole when it gets a request with a
+// body that says so.
+func crashedBy(t *testing.T, body string) *testTarget {
+	var f *testTarget
+	f = newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		if got := make([]byte, len(body)); r.Body != nil {
+			if n, _ := r.Body.Read(got); string(got[:n]) == body {
+				_ = f.server.Listener.Close()
+				f.server.CloseClientConnections()
+				panic(http.ErrAbortHandler)
+			}
+		}
+		signed(w, r)
+	})
+	return f
+}
+
+func (b *bench) sendBody(id, caller, body string) Result {
+	return b.g.Serve(context.Background(), &Request{
+		ID: id, Caller: caller, Method: http.MethodGet, URI: "/read/x", Path: "/read/x", Host: "h", Name: "h",
+		Header: http.Header{"X-Id": []string{id}}, Body: []byte(body), HasBody: true, Key: NoKey,
+	})
+}
+
+// Guards against a request that comes again and crashes one target after another.
+func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
+	var targets []*testTarget
+	for range 8 {
+		targets = append(targets, crashedBy(t, "crash"))
+	}
+	b := newBench(t, targets...)
+	crashed := func() (n int) {
+		for _, f := range targets {
+			n += f.count()
+		}
+		return n
+	}
+	refusedAt := 0
+	for i := range 12 {
+		r := b.sendBody(fmt.Sprint("c", i), "10.0.0.1", "crash")
+		if r.Err == nil {
+			t.Fatalf("the request was answered with status %d", r.Response.Status)
+		}
+		if r.Err.Kind == errkind.KnownCrasher {
+			refusedAt = i
+			break
+		}
+		time.Sleep(2 * (crashCheckPause + crashCheckTimeout))
+	}
+	if n := crashed(); refusedAt == 0 || n > crashesBeforeRefusal+1 {
+		t.Errorf("the request reached %d targets, want %d or one more", n, crashesBeforeRefusal)
+	}
+	for i, other := range []struct{ caller, body string }{{"10.0.0.1", "fine"}, {"10.0.0.2", "fine"}} {
+		if r := b.sendBody(fmt.Sprint("o", i), other.caller, other.body); r.Err != nil {
+			t.Errorf("another request of the route failed: %v", r.Err)
+		}
+	}
+}
+
+// crashesBeforeRefusal is how many targets the users accept to lose.
+const crashesBeforeRefusal = 3
+
+// Guards against requests that are refused because targets lost them for other
+// reasons: full targets break connections and stay up.
+func TestLostRequestsAreNoCrashers(t *testing.T) {
+	b := newBench(t, newTarget(t, broken), newTarget(t, broken), newTarget(t, broken))
+	for i := range 6 {
+		r := b.sendBody(fmt.Sprint(i), "10.0.0.1", "x")
+		if r.Err == nil || r.Err.Kind == errkind.KnownCrasher {
+			t.Fatalf("request %d ended in %v", i, r.Err)
+		}
+		time.Sleep(crashCheckPause)
+	}
+}
+
+// Guards against a request that runs elsewhere and is refused because targets
+// crashed beside it.
+func TestAnsweredRequestIsNoLongerSuspected(t *testing.T) {
+	b := newBench(t, newTarget(t, signed))
+	fingerprint := (&Request{Caller: "10.0.0.1", Method: http.MethodGet, Name: "h", URI: "/read/x", Body: []byte("x")}).fingerprint()
+	for i := range uint64(crashesBeforeRefusal - 1) {
+		b.g.crashers.Suspect(b.g.now(), fingerprint, "gone", i)
+	}
+	if r := b.sendBody("1", "10.0.0.1", "x"); r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	if b.g.crashers.Alone(b.g.now(), fingerprint) {
+		t.Error("the request is still suspected")
+	}
+}
+
+// Guards against entries that learn each for itself which requests crash targets.
+func TestEntryRefusesWhatOthersSawCrashTargets(t *testing.T) {
+	answer := stateWith(0, 5)
+	for i := range uint64(crashesBeforeRefusal) {
+		answer.Suspicions = append(answer.Suspicions, admission.Suspicion{Fingerprint: 7, Target: "t", Incarnation: i})
+	}
+	g, err := New(Config{
+		Addr: freeAddr(t), Region: "r", DataCentre: "d", Seeds: []string{startControl(t, answer)}, Dialect: testDialect{},
+		Logger: &log.Logger{Handler: discard.New()},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	for end := time.Now().Add(5 * time.Second); !g.crashers.Refused(g.now(), 7); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the entry does not refuse the request")
+		}
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -104,6 +104,8 @@
 		f.g.cfg.Logger.WithField("control", r.from).WithError(r.err).Debug("watch failed")
 		return false
 	}
+	f.g.crashers.Merge(f.g.now(), answer.Suspicions)
+	f.g.crashers.heard = answer.Heard
 	if f.usable(r.from, answer, f.g.now()) {
 		f.g.take(answer, r.asked)
 	}
@@ -153,7 +155,7 @@
 	r := reply{from: addr, asked: g.now()}
 	payload, err := wire.Marshal(&watch.Request{
 		Entry: g.cfg.Addr, Region: g.cfg.Region, DataCentre: g.cfg.DataCentre, Revision: g.view.Load().Revision(), Wait: wait,
-		Known: f.digest, Samples: g.takeSamples(),
+		Known: f.digest, Samples: g.takeSamples(), Suspicions: g.crashers.Drain(), Heard: g.crashers.heard,
 	})
 	if err != nil {
 		r.err = err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,8 @@
 
 	view atomic.Pointer[fleet.View]
 	// contact is the monotonic time of the leader's state that the view shows.
-	contact atomic.Int64
+	contact  atomic.Int64
+	crashers crashers
 	// seeds are control VMs of changed settings that are not taken in yet.
 	seeds atomic.Pointer[[]watch.Peer]
 
@@ -133,7 +134,7 @@
 	}
 	g := &Gateway{
 		cfg: cfg, clock: clock.Start(), links: links, pool: upstream.NewPool(),
-		metrics: newMetrics(cfg.Registry), changed: make(chan struct{}),
+		metrics: newMetrics(cfg.Registry), crashers: newCrashers(), changed: make(chan struct{}),
 		tracks:  make(map[fleet.Incarnation]*tracked),
 		norms:   make(map[string]*placement.Norm),
 		budgets: make(map[string]*budget), pressures: make(map[string]*placement.Pressure), splits: make(map[string]*split),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -31,6 +31,7 @@
 		o.signals = g.cfg.Dialect.Read(resp)
 	}
 	g.learn(a, o, sent)
+	a.noteEnd(o)
 	return o
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,6 +21,9 @@
 type Request struct {
 	ID                      string
 	Method, URI, Path, Host string
+	// Caller is where the request came from, without what differs between the
+	// connections of a caller.
+	Caller string
 	// Name is the host in the form in which routes name it.
 	Name string
 	// Header holds what is passed on to the target.
@@ -52,6 +55,8 @@
 	// sharded says that only the holder of the key may run the request.
 	sharded bool
 	arrived time.Duration
+	// fingerprint identifies the request among those that crash targets.
+	fingerprint uint64
 	// end is when the caller or the route's timeout gives up.
 	end time.Duration
 	// sends counts the targets to which the request went.
@@ -113,7 +118,12 @@
 		}
 		return g.refuseAtOnce(req, errkind.New(errkind.UnknownRoute, "no route for %s%s", req.Name, req.Path))
 	}
-	a := &attempt{g: g, req: req, route: item.Route, name: item.Name, arrived: now}
+	a := &attempt{g: g, req: req, route: item.Route, name: item.Name, arrived: now, fingerprint: req.fingerprint()}
+	if g.crashers.Refused(now, a.fingerprint) {
+		result := g.refuseAtOnce(req, errkind.New(errkind.KnownCrasher, "this request crashed several targets"))
+		result.RetryAfter = req.Patience() // Coming back is in vain.
+		return result
+	}
 	wait := req.Patience()
 	a.end = now + min(wait, item.Route.Timeout)
 	a.service = g.pickService(item)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/link"
 	"github.com/flamingoreel/flamingoreel/internal/registry"
@@ -57,6 +58,17 @@
 	Known uint64 `msgpack:"k,omitempty"`
 	// Samples are what the entry saw since its last watch.
 	Samples []registry.Samples `msgpack:"s,omitempty"`
+	// Suspicions are the entry's own since its last watch, Heard is up to where it
+	// knows those of others.
+	Suspicions []admission.Suspicion `msgpack:"u,omitempty"`
+	Heard      Mark                  `msgpack:"h"`
+}
+
+// Mark is a place in the list of suspicions of a control VM.
+type Mark struct {
+	// Origin tells the list apart from those of other VMs and of earlier starts.
+	Origin uint64 `msgpack:"o"`
+	Next   uint64 `msgpack:"n"`
 }
 
 // Answer is what changed.
@@ -71,6 +83,10 @@
 	Age time.Duration `msgpack:"a"`
 	// Known are the control VMs, left out when the entry knows them.
 	Known []Peer `msgpack:"k,omitempty"`
+	// Suspicions are those of all entries that the asking one has not heard yet,
+	// Heard is where they end.
+	Suspicions []admission.Suspicion `msgpack:"u,omitempty"`
+	Heard      Mark                  `msgpack:"h"`
 }
 
 // Peer is a control VM with its place, if known.
