Average the work of targets over requests before keys are placed by it

Cause, from the leader's figures at each balance: targets differ in speed by 2.3, but the estimates only by 1.5 (0.71 and 1.04 s for the fastest and the slowest third), because each entry hears of a target every 30 s, reports a guess that is mostly the mean of its route, and counts as much as an entry with many requests. So slow targets rarely reached the ratio at which keys leave them.

Change: entries report how long requests took that did not wait, with their number, and the leader averages over the last 60 of them, beside three requests of the service's mean.

Ruled out: rows that are too coarse. Of 2,411 failed keyed requests until second 18, 1,711 are for two keys with 100 requests a second each, which one target at most may serve (8 to 11 a second).

TestWorkIsAveragedOverRequests.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -93,8 +93,8 @@
 	case o.resp.Status < 500:
 		work := g.workOf(a.name, a.route)
 		g.learnWork(a.name, work, c.track.Served(now, now-sent, work, c.endpoint.Slots))
-		if a.sharded {
-			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, c.track.Usual(work))
+		if a.sharded && (s.Load == nil || s.Load.Waiting == 0) {
+			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, now-sent)
 		}
 	}
 	g.metrics.sends.WithLabelValues(label).Inc()
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -102,16 +102,9 @@
 	return s
 }
 
-// sampleWork notes how long the work of a target takes; the mutex is held.
-func (g *Gateway) sampleWork(service string, in fleet.Incarnation, mean time.Duration) {
-	s := g.samplesOf(service)
-	for i := range s.Works {
-		if s.Works[i].Target == in {
-			s.Works[i].Mean = mean
-			return
-		}
-	}
-	s.Works = append(s.Works, registry.Work{Target: in, Mean: mean})
+// sampleWork notes how long a target took for a request; the mutex is held.
+func (g *Gateway) sampleWork(service string, in fleet.Incarnation, took time.Duration) {
+	g.samplesOf(service).AddWork(registry.Work{Target: in, Mean: took, Count: 1})
 }
 
 // takeSamples returns what was seen since the last call.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -141,16 +141,6 @@
 	return time.Duration(float64(work) * ratio)
 }
 
-// Usual is the mean time that a request of the given work takes at the target
-// when it need not wait.
-func (t *Track) Usual(work time.Duration) time.Duration {
-	slowdown := t.usualSlowdown
-	if slowdown == 0 {
-		slowdown = 1
-	}
-	return time.Duration(float64(work) * slowdown * t.correction())
-}
-
 func (t *Track) correction() float64 {
 	if t.factor == 0 {
 		return 1
--- a/internal/registry/demand.go
+++ b/internal/registry/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -17,26 +18,54 @@
 	Works   []Work `msgpack:"w"`
 }
 
-// Work is the mean time that one entry saw a target take for a request that did
-// not wait.
+// Work is the mean time that a target took for some requests which did not wait.
 type Work struct {
 	Target fleet.Incarnation `msgpack:"t"`
 	Mean   time.Duration     `msgpack:"m"`
+	// Count is the number of these requests.
+	Count int `msgpack:"c"`
+}
+
+// Bounds of what one message may say of a target's work.
+const (
+	maxWorkCount = 64
+	longestWork  = time.Minute
+)
+
+// bounded returns the observation with values that a request can have.
+func (w Work) bounded() Work {
+	w.Mean = min(max(w.Mean, 0), longestWork)
+	w.Count = min(max(w.Count, 1), maxWorkCount)
+	return w
+}
+
+// with returns the mean of both observations of one target.
+func (w Work) with(more Work) Work {
+	w, more = w.bounded(), more.bounded()
+	count := w.Count + more.Count
+	w.Mean = (w.Mean*time.Duration(w.Count) + more.Mean*time.Duration(more.Count)) / time.Duration(count)
+	w.Count = count
+	return w
 }
 
 // Add takes in further samples of the service: keys up to the bound, and the
-// mean of both observations of a target's work.
+// mean of the observations of each target's work.
 func (s *Samples) Add(more Samples) {
 	room := max(maxSamples-len(s.Keys), 0)
 	s.Keys = append(s.Keys, more.Keys[:min(room, len(more.Keys))]...)
 	for _, w := range more.Works {
-		i := slices.IndexFunc(s.Works, func(held Work) bool { return held.Target == w.Target })
-		if i < 0 {
-			s.Works = append(s.Works, w)
-			continue
-		}
-		s.Works[i].Mean = (s.Works[i].Mean + w.Mean) / 2
+		s.AddWork(w)
+	}
+}
+
+// AddWork takes in an observation of a target's work.
+func (s *Samples) AddWork(w Work) {
+	i := slices.IndexFunc(s.Works, func(held Work) bool { return held.Target == w.Target })
+	if i < 0 {
+		s.Works = append(s.Works, w)
+		return
 	}
+	s.Works[i] = s.Works[i].with(w)
 }
 
 // Figures of the balance of keys.
@@ -67,22 +96,64 @@
 	// maxMoving bounds the rows that are on their way when another balancing move
 	// begins. The demand for them is counted where they go.
 	maxMoving = 48
-	// workShare is the weight of a new observation of a target's work.
-	workShare = 0.3
-	// defaultWork is assumed for targets that no entry has measured.
+	// workMemory is the number of requests over which the work of a target is
+	// averaged: with the usual spread its mean is then known within a tenth.
+	workMemory = 60
+	// priorWeight is the number of requests of a target that tell as much of it as
+	// the mean of its service: work of single requests differs by as much as that
+	// of targets.
+	priorWeight = 3
+	// defaultWork is assumed while no entry has measured any target.
 	defaultWork = 500 * time.Millisecond
 )
 
 // demand is the recent demand for a service.
 type demand struct {
 	samples  []sample
-	work     map[fleet.Incarnation]time.Duration
+	work     map[fleet.Incarnation]observed
 	began    time.Duration
 	balanced time.Duration
 	// usage is the utilisation of each target at the last look.
 	usage map[fleet.Incarnation]float64
 }
 
+// observed is the work that a target did of late, for a number of requests.
+type observed struct {
+	total time.Duration
+	count float64
+}
+
+// take adds observations and lets earlier ones fade.
+func (o observed) take(w Work) observed {
+	w = w.bounded()
+	if kept := workMemory - float64(w.Count); o.count > kept {
+		keep := max(kept, 0) / o.count
+		o.total, o.count = time.Duration(keep*float64(o.total)), keep*o.count
+	}
+	o.total += w.Mean * time.Duration(w.Count)
+	o.count += float64(w.Count)
+	return o
+}
+
+// usualWork is the mean work of a request over all targets of the service.
+func (d *demand) usualWork() time.Duration {
+	var all observed
+	for _, o := range d.work {
+		all.total += o.total
+		all.count += o.count
+	}
+	if all.count == 0 {
+		return defaultWork
+	}
+	return time.Duration(float64(all.total) / all.count)
+}
+
+// mean estimates the work of a request at the target, usual being that of the
+// service.
+func (o observed) mean(usual time.Duration) time.Duration {
+	return time.Duration((float64(o.total) + priorWeight*float64(usual)) / (o.count + priorWeight))
+}
+
 type sample struct {
 	key int
 	at  time.Duration
@@ -92,7 +163,7 @@
 func (r *Registry) Sampled(now time.Duration, s Samples) {
 	d := r.demand[s.Service]
 	if d == nil {
-		d = &demand{work: make(map[fleet.Incarnation]time.Duration), began: now}
+		d = &demand{work: make(map[fleet.Incarnation]observed), began: now}
 		r.demand[s.Service] = d
 	}
 	for _, key := range s.Keys {
@@ -100,10 +171,7 @@
 	}
 	d.expire(now)
 	for _, w := range s.Works {
-		if old := d.work[w.Target]; old > 0 {
-			w.Mean = old + time.Duration(workShare*float64(w.Mean-old))
-		}
-		d.work[w.Target] = w.Mean
+		d.work[w.Target] = d.work[w.Target].take(w)
 	}
 }
 
@@ -224,12 +292,13 @@
 		rate: make(map[fleet.Incarnation]float64), count: make(map[fleet.Incarnation]int),
 		held: make(map[fleet.Incarnation]int),
 	}
-	window := d.window(now)
+	maps.DeleteFunc(d.work, func(in fleet.Incarnation, _ observed) bool {
+		t, ok := s.Target(in.ID)
+		return !ok || t.Born != in.Born
+	})
+	window, usual := d.window(now), d.usualWork()
 	for _, in := range usable {
-		work := d.work[in]
-		if work == 0 {
-			work = defaultWork
-		}
+		work := d.work[in].mean(usual)
 		t, _ := s.Target(in.ID)
 		sc.work[in] = work
 		sc.rate[in] = work.Seconds() / float64(max(t.Slots, 1)) / window.Seconds()
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -296,6 +296,31 @@
 	}
 }
 
+// Guards against a mean of a target's work in which one entry with a single
+// request counts as much as one with many, and against values that no request has.
+func TestWorkIsAveragedOverRequests(t *testing.T) {
+	target := fleet.Incarnation{ID: "1", Born: 1}
+	s := Samples{Works: []Work{{Target: target, Mean: time.Second, Count: 30}}}
+	s.Add(Samples{Works: []Work{{Target: target, Mean: 4 * time.Second, Count: 1}}})
+	var o observed
+	o = o.take(s.Works[0])
+	if got := o.mean(time.Second); got < time.Second || got > 1200*time.Millisecond {
+		t.Errorf("the work is %v after 30 requests of 1s and one of 4s", got)
+	}
+	for range 10 {
+		o = o.take(Work{Target: target, Mean: 300 * time.Millisecond, Count: 20})
+	}
+	if got := o.mean(time.Second); got > 400*time.Millisecond {
+		t.Errorf("the work is %v after 200 requests of 300ms", got)
+	}
+	for _, w := range []Work{{Mean: -1 << 63, Count: 1 << 62}, {Mean: 1<<63 - 1, Count: -5}} {
+		o = o.take(w)
+	}
+	if got := o.mean(time.Second); got < 0 || got > longestWork || o.count > workMemory+maxWorkCount {
+		t.Errorf("the work is %v of %v requests after values out of range", got, o.count)
+	}
+}
+
 // Guards against entries that start later and take every target that was ever
 // cold for cold again.
 func TestWarmTargetsAreRecorded(t *testing.T) {
