Record that a target left which the leader does not know

Its leave reached the leader, which did not know it and acknowledged without recording anything. At 10.29 s a heartbeat that it had sent before arrived, was its first, and made it ready; entries used it at once.

Ruled out: entries with an old state (all had the target in force 60 ms after it was recorded), a lost acknowledgement, a new start (same incarnation).

Change: a leave is recorded for an incarnation that is not known as well, so that later heartbeats of it change nothing. A later life of the target is taken in.

TestLateHeartbeatDoesNotBringBackATargetThatLeft fails before (ready) and passes.

--- a/internal/controller/beat.go
+++ b/internal/controller/beat.go
@@ -105,12 +105,11 @@
 	}
 	b := req.Beat
 	if b.Target.Condition >= fleet.Left {
-		known, ok := l.state.Target(b.Target.ID)
-		if !ok || b.Target.Born != 0 && known.Born != b.Target.Born {
+		left, news := l.leaving(b.Target)
+		if !news {
 			return beatResult{}
 		}
-		known.Condition, known.ColdFor = fleet.Left, 0
-		b.Target = known
+		b.Target = left
 	}
 	grant, commands := l.registry.Beat(now, l.state, b)
 	result := beatResult{answer: l.shorten(grant, b.Target.Service, req.Shard)}
@@ -131,6 +130,21 @@
 	return result
 }
 
+// leaving returns what to record of an incarnation that leaves. One that is not
+// known is recorded as well: a heartbeat that it sent before may still arrive. It
+// reports false for an incarnation that a later one has replaced.
+func (l *loop) leaving(t fleet.Target) (fleet.Target, bool) {
+	known, ok := l.state.Target(t.ID)
+	switch {
+	case !ok || t.Born > known.Born:
+		return fleet.Target{Incarnation: t.Incarnation, Condition: fleet.Left}, true
+	case t.Born != 0 && t.Born < known.Born:
+		return fleet.Target{}, false
+	}
+	known.Condition, known.ColdFor = fleet.Left, 0
+	return known, true
+}
+
 // shorten leaves out rows that the asking VM has at the same revision.
 func (l *loop) shorten(grant registry.Grant, service string, known uint64) beatAnswer {
 	shard, _ := l.state.Shard(service)
--- a/internal/controller/beat_test.go
+++ b/internal/controller/beat_test.go
@@ -1,7 +1,10 @@
 package controller
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/registry"
@@ -43,3 +46,49 @@
 		t.Error("an answer that grants nothing lets the VM fill in rows")
 	}
 }
+
+// Guards against a target that is in use after its leave was acknowledged: its
+// heartbeats reached no leader, and one of them arrives late.
+func TestLateHeartbeatDoesNotBringBackATargetThatLeft(t *testing.T) {
+	v := startVMs(t)
+	for _, born := range []int64{0, 1_790_000_000_000} {
+		id := fmt.Sprintf("i-%d", born)
+		leave := registry.Beat{Target: fleet.Target{Incarnation: fleet.Incarnation{ID: id, Born: born}, Condition: fleet.Left}}
+		if _, failure := v.all[0].Beat(context.Background(), leave); failure != nil {
+			t.Fatal(failure)
+		}
+		late := registry.Beat{Seq: 1, Target: fleet.Target{
+			Incarnation: leave.Target.Incarnation, Service: "s", Address: "127.0.0.1:9", DataCentre: "dc-0", Slots: 1,
+		}}
+		for _, c := range v.all {
+			if _, failure := c.Beat(context.Background(), late); failure != nil {
+				t.Fatal(failure)
+			}
+		}
+		next := late
+		next.Target.Born = born + 1
+		next.Target.ID = id
+		for _, c := range v.all {
+			known, failure := ask(context.Background(), c.loop, routine, func(results chan<- fleet.Target) {
+				target, _ := c.loop.state.Target(id)
+				results <- target
+			})
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			if known.Condition != fleet.Left {
+				t.Errorf("born %d: the target is %v", born, known.Condition)
+			}
+		}
+		if _, failure := v.all[0].Beat(context.Background(), next); failure != nil {
+			t.Fatal(failure)
+		}
+		v.await("the next life of the target is known", 2*time.Second, func() bool {
+			target, _ := ask(context.Background(), v.all[1].loop, routine, func(results chan<- fleet.Target) {
+				target, _ := v.all[1].loop.state.Target(id)
+				results <- target
+			})
+			return target.Condition == fleet.Ready && target.Born == born+1
+		})
+	}
+}
