--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -49,6 +49,9 @@
 	if result == nil {
 		c.metrics.commit.Observe((c.now() - arrived).Seconds())
 	}
+	if result != nil && result.Kind == errkind.NotLeader {
+		return nil, result // The VM that was asked goes on and records the outcome.
+	}
 	c.logChange(cmd, result)
 	if result != nil {
 		return nil, result
