--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -100,11 +100,11 @@
 	}
 }
 
-// How a control VM that is cut off from the leader looks to an entry.
+// How a control VM that is cut off from the leader looks to an entry; 0 is one
+// that is not.
 const (
-	connected = iota
 	// silent takes watches and never answers.
-	silent
+	silent = iota + 1
 	// stale answers after the wait with a state that gets older.
 	stale
 )
