Ask control VMs that start with an entry again soon

It needs two that answer. Ruled out: the election (entries serve by what two replicas recovered before it).

Change: an entry without any state asks again after 0.1 s times their number, as it did before the search.

--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -32,6 +32,12 @@
 func startControl(t *testing.T, answer watch.Answer) string {
 	t.Helper()
 	addr := freeAddr(t)
+	startControlAt(t, addr, answer)
+	return addr
+}
+
+func startControlAt(t *testing.T, addr string, answer watch.Answer) {
+	t.Helper()
 	node, err := link.Listen(watch.LinkConfig(addr, 1, &log.Logger{Handler: discard.New()}))
 	if err != nil {
 		t.Fatal(err)
@@ -42,7 +48,6 @@
 	})
 	node.Serve()
 	t.Cleanup(func() { _ = node.Close() })
-	return addr
 }
 
 // stateWith is an answer with a service, its targets and an age.
@@ -100,6 +105,30 @@
 	}
 }
 
+// Guards against entries that serve nobody for a second after a loss of power
+// because control VMs that start with them were asked a moment too early.
+func TestEntryAsksStartingControlVMsAgainSoon(t *testing.T) {
+	seeds := []string{freeAddr(t), freeAddr(t), freeAddr(t)}
+	g, err := New(Config{
+		Addr: freeAddr(t), Region: "r", DataCentre: "d", Seeds: seeds, Dialect: testDialect{}, Logger: &log.Logger{Handler: discard.New()},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	time.Sleep(30 * time.Millisecond)
+	for _, addr := range seeds[:2] {
+		startControlAt(t, addr, stateWith(watch.Unknown, 5, "stays"))
+	}
+	begun := time.Now()
+	for !g.Ready() && time.Since(begun) < 5*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	if took := time.Since(begun); took > 2*staleGrace {
+		t.Errorf("the entry serves %v after two control VMs have started, want %v", took, 2*staleGrace)
+	}
+}
+
 // How a control VM that is cut off from the leader looks to an entry; 0 is one
 // that is not.
 const (
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -36,17 +36,18 @@
 	f.noteLost(followed)
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
-	pace := searchPace
+	pace, rest := searchPace, searchPace
 	if !f.g.Ready() {
-		// A whole state fills a narrow link: one at a time.
-		pace = watchTimeout
+		// A whole state fills a narrow link: one at a time. Control VMs that start
+		// with the entry answer a moment later.
+		pace, rest = watchTimeout, watchPause
 	}
 	var queue []candidate
 	for _, addr := range f.peers.others() {
 		queue = append(queue, candidate{addr: addr})
 	}
 	// again is how long a VM that answered is left alone.
-	again := searchPace * time.Duration(len(queue)+1)
+	again := rest * time.Duration(len(queue)+1)
 	replies := make(chan reply)
 	expect := func(from <-chan reply) {
 		go func() {
