Never take in an earlier state of another control VM

A delta that ends at or before the entry's revision changes nothing now. TestEarlierStateOfAnotherControlVMIsNotTakenIn: version 3 went back to 2 before.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -173,13 +173,14 @@
 }
 
 // take puts the news of an answer in force. The answer shows the leader's state
-// of at least Age before the watch was sent.
+// of at least Age before the watch was sent. Of several control VMs that were asked
+// at the same revision an earlier state may come last.
 func (g *Gateway) take(answer watch.Answer, asked time.Duration) {
 	if contact := int64(asked - answer.Age); contact > g.contact.Load() {
 		g.contact.Store(contact)
 	}
 	old := g.view.Load()
-	if answer.Delta.Empty() || answer.Delta.From > old.Revision() {
+	if answer.Delta.Empty() || answer.Delta.From > old.Revision() || answer.Delta.To <= old.Revision() {
 		return
 	}
 	next := old.With(answer.Delta, g.now())
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -105,6 +106,23 @@
 	}
 }
 
+// Guards against an entry that goes back to an earlier state: it asks several
+// control VMs at the same revision, and the one that lags may answer last.
+func TestEarlierStateOfAnotherControlVMIsNotTakenIn(t *testing.T) {
+	b := newBench(t)
+	from := b.g.view.Load().Revision()
+	service := func(to, version uint64) watch.Answer {
+		return watch.Answer{Delta: fleet.Delta{From: from, To: to, Items: []items.Item{
+			{Key: items.Key{Collection: items.Services, Name: "s"}, Version: version, Service: &items.Service{HealthPath: fmt.Sprint("/", version)}},
+		}}}
+	}
+	b.g.take(service(from+20, 3), b.g.now())
+	b.g.take(service(from+10, 2), b.g.now())
+	if got, _ := b.g.view.Load().Service("s"); got.HealthPath != "/3" || b.g.view.Load().Revision() != from+20 {
+		t.Errorf("the entry went back to %q at revision %d", got.HealthPath, b.g.view.Load().Revision())
+	}
+}
+
 // Guards against entries that serve nobody for a second after a loss of power
 // because control VMs that start with them were asked a moment too early.
 func TestEntryAsksStartingControlVMsAgainSoon(t *testing.T) {
