Share the test's control VM, rename and test counts out of range

Two tests started a control VM in the same lines; a method that takes in another VM's leader was called hear; the call that notes missing votes had lost the comment that says so; malformed samples had no counts, which are new. No decision changes and no bound of a test.

--- a/cmd/flamingoreeld/malformed_test.go
+++ b/cmd/flamingoreeld/malformed_test.go
@@ -189,7 +189,7 @@
 // wildSamples are observations with values that no request has.
 func wildSamples(holder fleet.Incarnation) registry.Samples {
 	s := registry.Samples{Service: "reports", Works: []registry.Work{
-		{Target: holder, Mean: math.MinInt64}, {Target: holder, Mean: math.MaxInt64}, {Mean: 0},
+		{Target: holder, Mean: math.MinInt64, Count: math.MinInt}, {Target: holder, Mean: math.MaxInt64, Count: math.MaxInt}, {Mean: 0},
 	}}
 	for i := range 200 {
 		s.Keys = append(s.Keys, -i, math.MaxInt-i, fleet.MaxKey+i)
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -175,7 +175,7 @@
 		return
 	}
 	l.replica.Tick(now)
-	l.enoughVoters(now)
+	l.enoughVoters(now) // notes since when votes are missing
 	l.watchLeadership(now)
 	if !l.leading(now) {
 		return
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -111,13 +111,13 @@
 		return
 	}
 	c.learn(reply.Known)
-	c.hear(addr, reply.Leader)
+	c.learnLeader(addr, reply.Leader)
 }
 
-// hear takes in which VM another one takes for the leader. The replica knows
+// learnLeader takes in which VM another one takes for the leader. The replica knows
 // better where it has one; a VM without one would never learn that the leader
 // which it follows no longer leads.
-func (c *Controller) hear(from, leader string) {
+func (c *Controller) learnLeader(from, leader string) {
 	if leader == "" || leader == c.cfg.Addr {
 		return
 	}
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -38,15 +38,21 @@
 }
 
 func startControlAt(t *testing.T, addr string, answer watch.Answer) {
+	t.Helper()
+	serveWatches(t, addr, func(context.Context, string, []byte) ([]byte, error) {
+		time.Sleep(10 * time.Millisecond)
+		return watch.Encode(&answer)
+	})
+}
+
+// serveWatches answers watches at an address until the test ends.
+func serveWatches(t *testing.T, addr string, watched link.Handler) {
 	t.Helper()
 	node, err := link.Listen(watch.LinkConfig(addr, 1, &log.Logger{Handler: discard.New()}))
 	if err != nil {
 		t.Fatal(err)
 	}
-	node.Handle(watch.Method, func(context.Context, string, []byte) ([]byte, error) {
-		time.Sleep(10 * time.Millisecond)
-		return watch.Encode(&answer)
-	})
+	node.Handle(watch.Method, watched)
 	node.Serve()
 	t.Cleanup(func() { _ = node.Close() })
 }
@@ -169,13 +175,7 @@
 	t.Helper()
 	c := &cuttable{addr: freeAddr(t)}
 	c.answer.Store(&answer)
-	node, err := link.Listen(watch.LinkConfig(c.addr, 1, &log.Logger{Handler: discard.New()}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	node.Handle(watch.Method, c.watched)
-	node.Serve()
-	t.Cleanup(func() { _ = node.Close() })
+	serveWatches(t, c.addr, c.watched)
 	return c
 }
 
