Draw the ports of a test's site at the same time

Cause: the four ports of a site were drawn one after the other, each closed before the next, so that two of them could be the same number. Change: all four are held until drawn. No check or bound changes.

--- a/cmd/flamingoreeld/platform_test.go
+++ b/cmd/flamingoreeld/platform_test.go
@@ -91,12 +91,22 @@
 // freePort returns a port that was free a moment ago.
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	return freePorts(t, 1)[0]
+}
+
+// freePorts returns different ports. They are held until all are drawn: the same
+// one may be drawn again once it is free.
+func freePorts(t *testing.T, count int) (ports []int) {
+	t.Helper()
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	return ports
 }
 
 const siteSettings = `
@@ -115,7 +125,8 @@
 // in 127.0.network.0, so that the ports are the same on all of them.
 func newSite(t *testing.T, network, entries int) *site {
 	s := &site{t: t, dir: t.TempDir(), procs: make(map[string]*exec.Cmd)}
-	link, control, front, ready := freePort(t), freePort(t), freePort(t), freePort(t)
+	ports := freePorts(t, 4)
+	link, control, front, ready := ports[0], ports[1], ports[2], ports[3]
 	var seeds []string
 	for i := range 3 {
 		addr := net.JoinHostPort(fmt.Sprintf("127.0.%d.%d", network, i+1), strconv.Itoa(control))
