Log why settings are reloaded and why a process ends

The hypotheses on requests that are lost while an entry drains could not be told apart: neither a signal nor the reason of an end was logged, and the line of a reload did not name its cause.

Now "settings reloaded" and "stopped" have a reason, and the signal that requests a stop is logged when it is acted on. The seeds were missing in the lines, because the log format drops lists.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -129,13 +130,15 @@
 	s := p.settings
 	p.logger.WithFields(log.Fields{
 		"vm": s.Name, "region": s.Region, "data_centre": s.DataCentre, "link": s.LinkAddr,
-		"seeds": s.Seeds, "bootstrap": s.Bootstrap, "tolerated": s.ToleratedLosses,
+		"seeds": strings.Join(s.Seeds, ","), "bootstrap": s.Bootstrap, "tolerated": s.ToleratedLosses,
 	}).Info("started")
 	err := role(ctx, p)
+	reason := "signal"
 	if err != nil {
 		p.logger.WithError(err).Error("role failed")
+		reason = "failure"
 	}
-	p.logger.WithField("vm", s.Name).Info("stopped")
+	p.logger.WithFields(log.Fields{"vm": s.Name, "reason": reason}).Info("stopped")
 	return err
 }
 
@@ -192,15 +195,16 @@
 	for {
 		select {
 		case <-ctx.Done():
+			p.logger.WithField("cause", context.Cause(ctx)).Info("stop requested")
 			return nil
 		case err := <-p.serverErrors:
 			return err
-		case <-hangup:
-			p.reload(addSeeds)
+		case received := <-hangup:
+			p.reload(addSeeds, received.String())
 		case <-poll.C:
 			if at := p.modified(); !at.Equal(modified) {
 				modified = at
-				p.reload(addSeeds)
+				p.reload(addSeeds, "file changed")
 			}
 		}
 	}
@@ -218,14 +222,15 @@
 
 // reload adds the seeds of changed settings. Other settings take effect at the
 // next start.
-func (p *process) reload(addSeeds func([]string)) {
+func (p *process) reload(addSeeds func([]string), reason string) {
+	logger := p.logger.WithField("reason", reason)
 	s, err := platform.ReadSettings(p.path)
 	if err != nil {
-		p.logger.WithError(err).Warn("changed settings ignored")
+		logger.WithError(err).Warn("changed settings ignored")
 		return
 	}
 	addSeeds(s.Seeds)
-	p.logger.WithField("seeds", s.Seeds).Info("settings reloaded")
+	logger.WithField("seeds", strings.Join(s.Seeds, ",")).Info("settings reloaded")
 }
 
 func runEntry(ctx context.Context, p *process) error {
