Receive the signals of a role until its process exits

Cause: process.wait received SIGHUP only until the stop began and then gave it back to its default action, which ends a process. A SIGHUP during the drain cut all requests in flight.

Change: internal/signals receives the signals in one place, from the start of a role until its process exits, and never gives them back. A stop signal ends the context, SIGHUP requests a reload, and any signal after the first stop signal is logged and ignored: a second SIGTERM must not end a drain early either. Whoever wants that sends SIGKILL. Each signal has a line with what the process does about it.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -6,10 +6,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -21,6 +19,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/controller"
 	"github.com/flamingoreel/flamingoreel/internal/gateway"
 	"github.com/flamingoreel/flamingoreel/internal/logs"
+	"github.com/flamingoreel/flamingoreel/internal/signals"
 	"github.com/flamingoreel/flamingoreel/platform"
 )
 
@@ -72,13 +71,13 @@
 				&cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
 				stringFlag("log-level", "info", "debug, info, warn or error"),
 			},
-			Action: func(ctx context.Context, c *cli.Command) error {
+			Action: func(_ context.Context, c *cli.Command) error {
 				p, err := newProcess(c)
 				if err != nil {
 					return cli.Exit(err, exitSettings)
 				}
 				defer p.logs.Close()
-				return asRunError(p.run(ctx, run))
+				return asRunError(p.run(run))
 			},
 		}
 	}
@@ -97,6 +96,8 @@
 	registry *prometheus.Registry
 	// serverErrors receives the errors of servers that failed.
 	serverErrors chan error
+	// reloads receives requests to reload the settings.
+	reloads chan struct{}
 }
 
 func newProcess(c *cli.Command) (*process, error) {
@@ -113,6 +114,7 @@
 	p := &process{
 		path: path, settings: settings, logs: handler,
 		logger: &log.Logger{Handler: handler, Level: level}, registry: prometheus.NewRegistry(), serverErrors: make(chan error, 4),
+		reloads: make(chan struct{}, 1),
 	}
 	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "flamingoreel_log_lines_dropped_total", Help: "Log lines dropped to stay within the permitted volume.",
@@ -124,15 +126,15 @@
 }
 
 // run runs a role until SIGINT or SIGTERM. The role closes what it opened.
-func (p *process) run(ctx context.Context, role func(context.Context, *process) error) error {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func (p *process) run(role func(context.Context, *process) error) error {
+	received := signals.Receive()
+	received.Handle(p.logger, p.reloads)
 	s := p.settings
 	p.logger.WithFields(log.Fields{
 		"vm": s.Name, "region": s.Region, "data_centre": s.DataCentre, "link": s.LinkAddr,
 		"seeds": strings.Join(s.Seeds, ","), "bootstrap": s.Bootstrap, "tolerated": s.ToleratedLosses,
 	}).Info("started")
-	err := role(ctx, p)
+	err := role(received.Context(), p)
 	reason := "signal"
 	if err != nil {
 		p.logger.WithError(err).Error("role failed")
@@ -186,21 +188,17 @@
 // wait returns when the process is asked to stop or a server failed. Until then
 // it reloads the settings on SIGHUP and when their file changes.
 func (p *process) wait(ctx context.Context, addSeeds func([]string)) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	modified := p.modified()
 	for {
 		select {
 		case <-ctx.Done():
-			p.logger.WithField("cause", context.Cause(ctx)).Info("stop requested")
 			return nil
 		case err := <-p.serverErrors:
 			return err
-		case received := <-hangup:
-			p.reload(addSeeds, received.String())
+		case <-p.reloads:
+			p.reload(addSeeds, "signal")
 		case <-poll.C:
 			if at := p.modified(); !at.Equal(modified) {
 				modified = at
