Receive the daemon's signals before it reads its settings

Beside the drain, SIGHUP ended a process in two more parts of its life: a role that starts, until it waits for its stop, and the daemon outside the platform at any time, without a drain. Each cuts the requests in flight, or lets a VM be missing until it is started again.

Cause: as before, signals were received only where they were needed. Now main receives them first; they are acted on once the log level is known.

TestHangupDuringStartIsHarmless sends SIGHUP to an entry that reads its settings from a pipe, TestHangupDoesNotEndTheDaemon to a running and a draining daemon. Both processes ended with "signal: hangup" before.

--- a/cmd/flamingoreeld/main.go
+++ b/cmd/flamingoreeld/main.go
@@ -8,10 +8,13 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/flamingoreel/flamingoreel/internal/signals"
 )
 
 func main() {
-	err := command().Run(context.Background(), os.Args)
+	received := signals.Receive()
+	err := command(received).Run(context.Background(), os.Args)
 	if err == nil {
 		return
 	}
--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -63,7 +63,7 @@
 
 // roleCommands returns the commands that run one role of a deployment on the
 // users' platform.
-func roleCommands() []*cli.Command {
+func roleCommands(received *signals.Handler) []*cli.Command {
 	role := func(name, usage string, run func(context.Context, *process) error) *cli.Command {
 		return &cli.Command{
 			Name: name, Usage: usage,
@@ -77,7 +77,7 @@
 					return cli.Exit(err, exitSettings)
 				}
 				defer p.logs.Close()
-				return asRunError(p.run(run))
+				return asRunError(p.run(received, run))
 			},
 		}
 	}
@@ -126,8 +126,7 @@
 }
 
 // run runs a role until SIGINT or SIGTERM. The role closes what it opened.
-func (p *process) run(role func(context.Context, *process) error) error {
-	received := signals.Receive()
+func (p *process) run(received *signals.Handler, role func(context.Context, *process) error) error {
 	received.Handle(p.logger, p.reloads)
 	s := p.settings
 	p.logger.WithFields(log.Fields{
--- a/cmd/flamingoreeld/run.go
+++ b/cmd/flamingoreeld/run.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -18,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/flamingoreel/flamingoreel/internal/admin"
+	"github.com/flamingoreel/flamingoreel/internal/signals"
 	"github.com/flamingoreel/flamingoreel/internal/vm"
 )
 
@@ -25,12 +24,11 @@
 const headerTimeout = 10 * time.Second
 
 // run starts the VM and serves until SIGINT or SIGTERM.
-func run(ctx context.Context, s settings) error {
+func run(received *signals.Handler, s settings) error {
 	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: s.logLevel}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	received.Handle(logger, nil)
 
 	dataDir := ""
 	if slices.Contains(s.voters, s.name) {
@@ -63,7 +61,7 @@
 	select {
 	case err := <-serverErrors:
 		return err
-	case <-ctx.Done():
+	case <-received.Context().Done():
 	}
 	drain(node, callers, s.drainTimeout)
 	logger.WithField("vm", s.name).Info("stopped")
--- a/cmd/flamingoreeld/settings.go
+++ b/cmd/flamingoreeld/settings.go
@@ -10,6 +10,8 @@
 
 	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
+
+	"github.com/flamingoreel/flamingoreel/internal/signals"
 )
 
 // Exit codes.
@@ -58,12 +60,13 @@
 	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: env(name)}
 }
 
-// command returns the daemon's command with its flags.
-func command() *cli.Command {
+// command returns the daemon's command with its flags. The process acts on the
+// received signals once its settings are known.
+func command(received *signals.Handler) *cli.Command {
 	return &cli.Command{
 		Name:           "flamingoreeld",
 		Usage:          "route requests to targets that own their keys exclusively",
-		Commands:       roleCommands(),
+		Commands:       roleCommands(received),
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Flags: []cli.Flag{
 			stringFlag("name", "", "name of this VM, unique in the cluster"),
@@ -81,7 +84,7 @@
 			stringFlag("log-level", "info", "debug, info, warn or error"),
 			&cli.DurationFlag{Name: "drain-timeout", Value: 10 * time.Second, Usage: "time limit of a graceful shutdown", Sources: env("drain-timeout")},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
+		Action: func(_ context.Context, c *cli.Command) error {
 			s, faults := readSettings(c)
 			if len(faults) > 0 {
 				for _, f := range faults {
@@ -89,7 +92,7 @@
 				}
 				return cli.Exit("", exitSettings)
 			}
-			return asRunError(run(ctx, s))
+			return asRunError(run(received, s))
 		},
 	}
 }
--- a/cmd/flamingoreeld/signals_test.go
+++ b/cmd/flamingoreeld/signals_test.go
@@ -1,7 +1,16 @@
 package main
 
 import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -67,3 +76,96 @@
 func TestRepeatedStopSignalCutsNoRequest(t *testing.T) {
 	newSlowDeployment(t).checkSignalsDuringDrain(syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM)
 }
+
+// Guards against a process that ends because SIGHUP arrives while it starts: a VM
+// would be missing until the process is started again.
+func TestHangupDuringStartIsHarmless(t *testing.T) {
+	dir := t.TempDir()
+	path, final := filepath.Join(dir, "settings.yaml"), filepath.Join(dir, "final.yaml")
+	ports := freePorts(t, 3)
+	ip := fmt.Sprintf("127.0.%d.21", signalsNetwork)
+	listen := fmt.Sprintf("front: %q, ready_addr: %q", net.JoinHostPort(ip, strconv.Itoa(ports[0])), net.JoinHostPort(ip, strconv.Itoa(ports[1])))
+	text := fmt.Sprintf(settingsTemplate, "entry-0", ip, true, dir, listen, ports[2], ports[2]+8, strconv.Quote(ip+":9"))
+	if err := os.WriteFile(final, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	// The process waits for its settings in a pipe while it gets the signal.
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	entry := daemonCommand(ctx, path, "entry")
+	if err := entry.Start(); err != nil {
+		t.Fatal(err)
+	}
+	pipe := openForReader(t, path)
+	_ = entry.Process.Signal(syscall.SIGHUP)
+	time.Sleep(signalInterval)
+	if _, err := pipe.WriteString(text); err != nil {
+		t.Errorf("the process does not read its settings any more: %v", err)
+	}
+	if err := os.Rename(final, path); err != nil {
+		t.Fatal(err)
+	}
+	_ = pipe.Close()
+	time.Sleep(signalInterval)
+	_ = entry.Process.Signal(syscall.SIGTERM)
+	if err := entry.Wait(); err != nil {
+		t.Errorf("the entry ended with %v after a hangup during its start", err)
+	}
+}
+
+// openForReader opens a named pipe for writing as soon as a process reads it.
+func openForReader(t *testing.T, path string) *os.File {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		pipe, err := os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		if err == nil {
+			return pipe
+		}
+		if !errors.Is(err, syscall.ENXIO) {
+			t.Fatal(err)
+		}
+	}
+	t.Fatal("no process reads its settings")
+	return nil
+}
+
+// Guards against a daemon outside the platform that ends without a drain because of a
+// SIGHUP, for example when its terminal closes.
+func TestHangupDoesNotEndTheDaemon(t *testing.T) {
+	var addrs []string
+	for _, port := range freePorts(t, 3) {
+		addrs = append(addrs, fmt.Sprintf("127.0.%d.31:%d", signalsNetwork, port))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	daemon := daemonCommand(ctx, "", "--name=a", "--region=r", "--data-centre=d", "--cluster=c", "--bootstrap",
+		"--link-addr="+addrs[0], "--caller-addr="+addrs[1], "--admin-addr="+addrs[2], "--peers=a="+addrs[0], "--voters=a", "--data-dir="+t.TempDir())
+	output, err := daemon.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := daemon.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(output)
+	var log strings.Builder
+	for lines.Scan() && !strings.Contains(lines.Text(), "message=started") {
+		log.WriteString(lines.Text() + "\n")
+	}
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		_ = daemon.Process.Signal(sig)
+		time.Sleep(signalInterval)
+	}
+	for lines.Scan() {
+		log.WriteString(lines.Text() + "\n")
+	}
+	if err := daemon.Wait(); err != nil {
+		t.Errorf("the daemon ended with %v", err)
+	}
+	if !strings.Contains(log.String(), "message=stopped") {
+		t.Errorf("the daemon ended without a drain:\n%s", log.String())
+	}
+}
