Go on when the reader of the log has ended

When the process that reads the daemon's log ends, the next line raises SIGPIPE, which ends the daemon and cuts the requests in flight. internal/logs ignores the error of the write for this reason, but Go's runtime raises the signal for standard output and standard error before the error is returned.

Change: SIGPIPE is ignored, so the write only fails.

TestLostLogReaderDoesNotEndTheProcess closes the pipe of an entry's log. The entry ended with "signal: broken pipe" before.

--- a/cmd/flamingoreeld/signals_test.go
+++ b/cmd/flamingoreeld/signals_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -77,18 +79,28 @@
 	newSlowDeployment(t).checkSignalsDuringDrain(syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM)
 }
 
-// Guards against a process that ends because SIGHUP arrives while it starts: a VM
-// would be missing until the process is started again.
-func TestHangupDuringStartIsHarmless(t *testing.T) {
-	dir := t.TempDir()
-	path, final := filepath.Join(dir, "settings.yaml"), filepath.Join(dir, "final.yaml")
+// settingsOfLoneEntry returns the settings of an entry VM that reaches no control VM.
+func settingsOfLoneEntry(t *testing.T) string {
 	ports := freePorts(t, 3)
 	ip := fmt.Sprintf("127.0.%d.21", signalsNetwork)
 	listen := fmt.Sprintf("front: %q, ready_addr: %q", net.JoinHostPort(ip, strconv.Itoa(ports[0])), net.JoinHostPort(ip, strconv.Itoa(ports[1])))
-	text := fmt.Sprintf(settingsTemplate, "entry-0", ip, true, dir, listen, ports[2], ports[2]+8, strconv.Quote(ip+":9"))
-	if err := os.WriteFile(final, []byte(text), 0o600); err != nil {
+	return fmt.Sprintf(settingsTemplate, "entry-0", ip, true, t.TempDir(), listen, ports[2], ports[2]+8, strconv.Quote(ip+":9"))
+}
+
+// writeSettings writes a settings file and returns its path.
+func writeSettings(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return path
+}
+
+// Guards against a process that ends because SIGHUP arrives while it starts: a VM
+// would be missing until the process is started again.
+func TestHangupDuringStartIsHarmless(t *testing.T) {
+	text := settingsOfLoneEntry(t)
+	path, final := filepath.Join(t.TempDir(), "settings.yaml"), writeSettings(t, text)
 	// The process waits for its settings in a pipe while it gets the signal.
 	if err := syscall.Mkfifo(path, 0o600); err != nil {
 		t.Fatal(err)
@@ -169,3 +181,37 @@
 		t.Errorf("the daemon ended without a drain:\n%s", log.String())
 	}
 }
+
+// startWithOutput starts an entry VM with a pipe for its log and waits until it logs
+// its start. The pipe must be closed or read.
+func startWithOutput(t *testing.T, settings string) (*exec.Cmd, io.ReadCloser) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	entry := daemonCommand(ctx, settings, "entry")
+	output, err := entry.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := entry.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := bufio.NewReader(output).ReadString('\n'); err != nil || !strings.Contains(line, "message=started") {
+		t.Fatalf("the entry logs %q, %v", line, err)
+	}
+	return entry, output
+}
+
+// Guards against a process that ends because the reader of its log has ended.
+func TestLostLogReaderDoesNotEndTheProcess(t *testing.T) {
+	entry, output := startWithOutput(t, writeSettings(t, settingsOfLoneEntry(t)))
+	_ = output.Close()
+	// Each reload logs a line, which can't be written any more.
+	for range 5 {
+		_ = entry.Process.Signal(syscall.SIGHUP)
+		time.Sleep(signalInterval)
+	}
+	_ = entry.Process.Signal(syscall.SIGTERM)
+	if err := entry.Wait(); err != nil {
+		t.Errorf("the entry ended with %v after its log lost its reader", err)
+	}
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -28,6 +28,9 @@
 	h := &Handler{ctx: ctx, stop: stop, stops: make(chan os.Signal, 1), hangups: make(chan os.Signal, 1)}
 	signal.Notify(h.stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(h.hangups, syscall.SIGHUP)
+	// A write to standard output or standard error whose reader has ended fails, as
+	// every other write does, instead of raising SIGPIPE.
+	signal.Ignore(syscall.SIGPIPE)
 	return h
 }
 
