Cover signals without a meaning in the drain

SIGUSR1 and SIGUSR2 were suspected to end a process as SIGHUP did. They don't: Go's runtime ignores them, and the test passed at once. It stays as a guard, together with the repeated stop signals and a SIGPIPE from outside, and the page says what each signal does.

--- a/cmd/flamingoreeld/signals_test.go
+++ b/cmd/flamingoreeld/signals_test.go
@@ -73,10 +73,10 @@
 	newSlowDeployment(t).checkSignalsDuringDrain(syscall.SIGHUP, syscall.SIGHUP)
 }
 
-// Guards against a repeated stop signal that ends the drain and the requests in
-// flight with it.
-func TestRepeatedStopSignalCutsNoRequest(t *testing.T) {
-	newSlowDeployment(t).checkSignalsDuringDrain(syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM)
+// Guards against a repeated stop signal, or one without a meaning, that ends the drain
+// and the requests in flight with it.
+func TestFurtherSignalsCutNoRequest(t *testing.T) {
+	newSlowDeployment(t).checkSignalsDuringDrain(syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGINT, syscall.SIGUSR2, syscall.SIGPIPE, syscall.SIGTERM)
 }
 
 // settingsOfLoneEntry returns the settings of an entry VM that reaches no control VM.
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -41,7 +41,8 @@
 // SIGTERM and SIGINT end the context. SIGHUP sends to reload, unless a reload is
 // already requested; reload has room for one request. Signals that have nothing to do
 // are logged: a reload without a channel, and every signal after the one that ended
-// the context.
+// the context. SIGQUIT keeps its default action, a dump of all goroutines; Go's runtime
+// ignores SIGUSR1, SIGUSR2 and the others that don't report a fault.
 func (h *Handler) Handle(logger log.Interface, reload chan<- struct{}) {
 	go func() {
 		for {
