Reload settings that change while a role starts

Settings that changed between their first reading and the moment when a role begins to look for changes were never read, if no signal came with the change: the look for changes started from the time of the changed file. New seeds were missing until the next change or start.

The modification time is now taken before the settings are read.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -53,9 +53,6 @@
 	// responseTimeout bounds the time from reading a request's headers to the end of
 	// its response. Callers wait for 12 s at most.
 	responseTimeout = 2 * time.Minute
-	// settingsPollInterval is the interval at which the settings file is checked for
-	// a change, which may come without a signal.
-	settingsPollInterval = time.Second
 	// softMemoryFraction is the fraction of the memory limit that the Go runtime gets
 	// as its soft limit: the garbage collector runs more often as memory use nears it.
 	softMemoryFraction = 0.6
@@ -91,6 +88,8 @@
 type process struct {
 	path     string
 	settings platform.Settings
+	// modified is when the file of the settings was last modified before it was read.
+	modified time.Time
 	logs     *logs.Handler
 	logger   *log.Logger
 	registry *prometheus.Registry
@@ -102,6 +101,7 @@
 
 func newProcess(c *cli.Command) (*process, error) {
 	path := c.String("settings")
+	modified := modifiedAt(path)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return nil, err
@@ -112,7 +112,7 @@
 	}
 	handler := logs.New(os.Stdout)
 	p := &process{
-		path: path, settings: settings, logs: handler,
+		path: path, settings: settings, modified: modified, logs: handler,
 		logger: &log.Logger{Handler: handler, Level: level}, registry: prometheus.NewRegistry(), serverErrors: make(chan error, 4),
 		reloads: make(chan struct{}, 1),
 	}
@@ -187,47 +187,13 @@
 // wait returns when the process is asked to stop or a server failed. Until then
 // it reloads the settings on SIGHUP and when their file changes.
 func (p *process) wait(ctx context.Context, addSeeds func([]string)) error {
-	poll := time.NewTicker(settingsPollInterval)
-	defer poll.Stop()
-	modified := p.modified()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case err := <-p.serverErrors:
-			return err
-		case <-p.reloads:
-			p.reload(addSeeds, "signal")
-		case <-poll.C:
-			if at := p.modified(); !at.Equal(modified) {
-				modified = at
-				p.reload(addSeeds, "file changed")
-			}
-		}
-	}
-}
-
-// modified returns the modification time of the settings file, or the zero time
-// if it cannot be read.
-func (p *process) modified() time.Time {
-	info, err := os.Stat(p.path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
-// reload adds the seeds of changed settings. Other settings take effect at the
-// next start.
-func (p *process) reload(addSeeds func([]string), reason string) {
-	logger := p.logger.WithField("reason", reason)
-	s, err := platform.ReadSettings(p.path)
-	if err != nil {
-		logger.WithError(err).Warn("changed settings ignored")
-		return
+	go p.watchSettings(ctx, addSeeds)
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-p.serverErrors:
+		return err
 	}
-	addSeeds(s.Seeds)
-	logger.WithField("seeds", strings.Join(s.Seeds, ",")).Info("settings reloaded")
 }
 
 func runEntry(ctx context.Context, p *process) error {
--- a/cmd/flamingoreeld/signals_test.go
+++ b/cmd/flamingoreeld/signals_test.go
@@ -215,3 +215,24 @@
 		t.Errorf("the entry ended with %v after its log lost its reader", err)
 	}
 }
+
+// Guards against a stop that waits for a reload whose file can't be read, until the
+// process is killed and its requests are cut.
+func TestStopDoesNotWaitForAReload(t *testing.T) {
+	path := writeSettings(t, settingsOfLoneEntry(t))
+	entry, output := startWithOutput(t, path)
+	defer func() { _ = output.Close() }()
+	blocked := filepath.Join(t.TempDir(), "pipe")
+	if err := syscall.Mkfifo(blocked, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(blocked, path); err != nil {
+		t.Fatal(err)
+	}
+	_ = entry.Process.Signal(syscall.SIGHUP)
+	time.Sleep(signalInterval)
+	_ = entry.Process.Signal(syscall.SIGTERM)
+	if err := entry.Wait(); err != nil {
+		t.Errorf("the entry ended with %v while a reload waited for its file", err)
+	}
+}
