Warn about an unknown change when the operator's terminal closes

flamingoreelctl apply says after SIGINT and SIGTERM that it isn't known whether the change was accepted, and with which base to apply it again. SIGHUP ended it without a word, although the change may be in force.

Cause: SIGHUP was left to its default action. It now ends a command as the other two do, unless it is ignored, as under nohup.

--- a/cmd/flamingoreelctl/main.go
+++ b/cmd/flamingoreelctl/main.go
@@ -21,12 +21,22 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), stopSignals()...)
 	code := run(ctx, os.Args, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
 }
 
+// stopSignals returns the signals that end a command. A SIGHUP that is ignored, as
+// under nohup, stays ignored.
+func stopSignals() []os.Signal {
+	stops := []os.Signal{syscall.SIGINT, syscall.SIGTERM}
+	if !signal.Ignored(syscall.SIGHUP) {
+		stops = append(stops, syscall.SIGHUP)
+	}
+	return stops
+}
+
 // run runs the command in args and returns the exit code.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	t := &tool{stdout: stdout, stderr: stderr}
--- a/cmd/flamingoreelctl/session_test.go
+++ b/cmd/flamingoreelctl/session_test.go
@@ -21,6 +21,9 @@
 var update = flag.Bool("update", false, "update the golden sessions")
 
 func TestMain(m *testing.M) {
+	if os.Getenv(toolVariable) != "" {
+		main()
+	}
 	testscript.Main(m, map[string]func(){
 		"flamingoreelctl": func() { os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr)) },
 	})
