Close links that are no longer used

Links between entry VMs are needed for seconds only, so Node.Disconnect leaves a link idle until its next call.

--- a/internal/link/call_test.go
+++ b/internal/link/call_test.go
@@ -129,3 +129,33 @@
 		_ = a.Close()
 	})
 }
+
+// Guards against a link that stays open, or is dialed again, after its last use, and
+// against one that cannot be used again.
+func TestDisconnectedLinkIsDialedOnNextCall(t *testing.T) {
+	n := newNetwork()
+	a, b := n.pair(map[string]Handler{"echo": echo})
+	defer func() { _, _ = a.Close(), b.Close() }()
+	for range 3 {
+		if _, err := a.Call(context.Background(), "b", "echo", []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		a.Disconnect("b")
+		p := a.lookup("b")
+		idle := func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.phase == phaseIdle
+		}
+		for end := time.Now().Add(2 * time.Second); !idle(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the link does not become idle")
+			}
+		}
+		time.Sleep(2 * BackoffMin)
+		if !idle() {
+			t.Fatal("the link was dialed again without a call")
+		}
+	}
+	a.Disconnect("unknown")
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -22,6 +22,7 @@
 	errReplaced   = errors.New("peer opened a newer connection")
 	errClosed     = errors.New("node closed")
 	errMoved      = errors.New("address of the peer changed")
+	errIdle       = errors.New("link no longer used")
 )
 
 // conn is one established connection. The dialing side opens streams; the
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// Disconnect closes the link that this node dialed to a peer. The next Call or
+// Send dials it again. Calls in flight fail.
+func (n *Node) Disconnect(name string) {
+	if p := n.lookup(name); p != nil {
+		p.disconnect()
+	}
+}
+
 // Serve starts to accept connections in the background.
 func (n *Node) Serve() {
 	n.mu.Lock()
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -37,6 +37,9 @@
 	lastErr error
 	// changed is closed and replaced at each change of phase.
 	changed chan struct{}
+	// disconnecting reports that the link must become idle instead of being dialed
+	// again.
+	disconnecting bool
 	// handlers counts the handlers running for the peer.
 	handlers [classes]int
 }
@@ -102,6 +105,7 @@
 // ensureDialing starts to maintain the link if it is idle. The caller holds the
 // mutex.
 func (p *peer) ensureDialing() {
+	p.disconnecting = false
 	if p.phase != phaseIdle || !p.node.addGoroutine(&p.node.links) {
 		return
 	}
@@ -121,13 +125,42 @@
 	p.changed = make(chan struct{})
 }
 
-// maintain dials the peer whenever the link is down, until the node closes. The
-// first reconnect after a lost connection follows immediately, later ones after
+// disconnect closes the dialed connection and leaves the link idle.
+func (p *peer) disconnect() {
+	p.mu.Lock()
+	p.disconnecting = true
+	c := p.conn
+	p.mu.Unlock()
+	if c != nil {
+		c.closeWithError(errIdle)
+	}
+}
+
+// becomeIdle makes the link idle if disconnect was called since the last Call or
+// Send.
+func (p *peer) becomeIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.disconnecting {
+		return false
+	}
+	p.disconnecting = false
+	p.phase, p.conn, p.lastErr = phaseIdle, nil, nil
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return true
+}
+
+// maintain dials the peer whenever the link is down, until the node closes or the
+// link becomes idle. The first reconnect after a lost connection follows immediately, later ones after
 // a backoff that grows until a connection lasts for stableAfter.
 func (p *peer) maintain() {
 	failures := 0
 	var dialErr error
 	for p.node.ctx.Err() == nil {
+		if p.becomeIdle() {
+			return
+		}
 		p.setPhase(phaseDialing, nil, dialErr)
 		lived, err := p.dialAndRun()
 		dialErr = nil
