Let the pool of connections to targets try a target without a request

A check whether an entry VM reaches any target needs no health check, which is billed and waits for a slot: a connection suffices, and it is kept for the next request.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -135,6 +135,7 @@
 	}
 	release := func() {
 		if stopAbort() {
+			c.completed++
 			p.putIdle(req.Addr, c, resp.Header)
 		}
 	}
@@ -162,6 +163,21 @@
 		}
 		_ = c.nc.Close()
 	}
+	return p.dial(ctx, addr)
+}
+
+// Connect opens a connection to a target and keeps it for later requests. The
+// errors are those that Do wraps in TargetUnreachable.
+func (p *Pool) Connect(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err == nil {
+		p.putIdle(addr, c, http.Header{})
+	}
+	return err
+}
+
+// dial opens a connection and watches it for a reset before it is used.
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	began := time.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if errors.Is(err, syscall.ECONNRESET) {
@@ -196,15 +212,14 @@
 	return nil
 }
 
-// putIdle returns a connection to the pool after a complete response. Bytes
-// after the response belong to no request, so a connection with such bytes is
-// closed.
+// putIdle puts a connection that is new or has received a complete response into
+// the pool. Bytes after the response belong to no request, so a connection with
+// such bytes is closed.
 func (p *Pool) putIdle(addr string, c *conn, h http.Header) {
 	if c.r.Buffered() > 0 || strings.EqualFold(h.Get("Connection"), "close") {
 		_ = c.nc.Close()
 		return
 	}
-	c.completed++
 	c.usableUntil = time.Now().Add(idleTime(h))
 	p.mu.Lock()
 	defer p.mu.Unlock()
