Relay requests of entry VMs that reach no target

An entry VM had one way to a target, its own connection, and knew of each target only whether it was lost.

Ruled out: the targets (others reach them), control (the state was current), lost retries (the requests never left the VM, or hung).

Now internal/reach decides, without I/O, whether an entry VM is isolated: several targets lost lead to a check that connects to targets of several data centres; if none accepts a connection and either all refuse it or none has responded for a second, the VM relays its requests through other entry VMs over the links, nearest first, one hop only, with the rest of the time, the regions and the attempts that are left. A peer that cannot take a request says so, and it did not run; a link that breaks later leaves the outcome unknown. Crash suspicions need another target that is reached. When checks succeed, a share of the requests that grows over 2 s goes directly again.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -59,6 +59,9 @@
 	// softMemoryFraction is the fraction of the memory limit that the Go runtime gets
 	// as its soft limit: the garbage collector runs more often as memory use nears it.
 	softMemoryFraction = 0.6
+	// relayMemoryFraction is the fraction of the memory limit that requests served
+	// for other entry VMs may take.
+	relayMemoryFraction = 0.1
 )
 
 // roleCommands returns the commands that run one role of a deployment on the
@@ -233,6 +236,7 @@
 	g, err := gateway.New(gateway.Config{
 		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Regions: s.Regions, Seeds: s.Seeds,
 		Dialect: platform.Dialect{}, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		RelayBytes: int64(relayMemoryFraction * float64(s.MemoryBytes)), LinkBytes: s.LinkBytes,
 		Seed: uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
 	})
 	if err != nil {
@@ -246,7 +250,7 @@
 	if err != nil {
 		return err
 	}
-	ready, err := p.listen(s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Ready() && !ingress.Stopping.Load() }))
+	ready, err := p.listen(s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Accepting() && !ingress.Stopping.Load() }))
 	if err != nil {
 		return err
 	}
@@ -261,19 +265,21 @@
 	}
 	p.logger.Info("draining")
 	ingress.Stopping.Store(true)
+	g.DeclineRelayed()
 	time.Sleep(min(handoffTime, s.Grace/2))
 	return drainCallers(g, server, ingress.Connections, s.Grace-min(handoffTime, s.Grace/2)-stopMargin)
 }
 
 // drainCallers stops serving callers within a time limit. The listener stays open
-// while callers' connections are active: closing it resets connections that wait
-// to be accepted. Requests received from now on are refused, and all others get
-// their final response shortly before the limit.
+// while callers' connections are active, because closing it resets connections that
+// wait to be accepted, and while requests of other entry VMs are in progress.
+// Requests received from now on are refused, and all others get their final response
+// shortly before the limit.
 func drainCallers(g *gateway.Gateway, server *http.Server, connected *callers.Connections, limit time.Duration) error {
 	end := time.Now().Add(limit)
 	g.RefuseNew()
 	server.SetKeepAlivesEnabled(false)
-	for connected.IdleFor() < quietTime && time.Until(end) > responseMargin {
+	for min(connected.IdleFor(), g.RelayIdleFor()) < quietTime && time.Until(end) > responseMargin {
 		time.Sleep(quietPollInterval)
 	}
 	g.FinishRequests()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,6 +24,9 @@
 		if a.g.stopping.ended() {
 			return choice{}, errStopping()
 		}
+		if a.mustRelay() {
+			return choice{}, errIsolated()
+		}
 		a.g.mu.Lock()
 		changed := a.g.changed
 		c, failure := a.pick()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -28,6 +28,8 @@
 	// maxCrashChecks bounds the concurrent checks. Overloaded targets break
 	// many connections.
 	maxCrashChecks = 2
+	// crashCheckOthers is the number of other targets to which a check connects.
+	crashCheckOthers = 2
 )
 
 // crashTracker detects requests that crash the targets that run them. Such a
@@ -90,7 +92,7 @@
 		_ = conn.Close()
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !g.reachesOthers(ctx, c) {
 		return
 	}
 	now := g.now()
@@ -102,3 +104,13 @@
 	defer g.mu.Unlock()
 	g.blockUntilHealthy(c)
 }
+
+// reachesOthers reports whether this VM reaches other targets than the lost one:
+// if it reaches none, it cannot tell a crashed target from a broken path.
+func (g *Gateway) reachesOthers(ctx context.Context, c choice) bool {
+	now := g.now()
+	g.mu.Lock()
+	g.path.Lost(now, c.endpoint.Address)
+	g.mu.Unlock()
+	return !g.isolated() && g.tryTargets(ctx, g.samplePath(now, crashCheckOthers)).Reached > 0
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -197,8 +197,7 @@
 	g.view.Store(next)
 	clear(g.subsets)
 	g.dropGoneTargets(next)
-	close(g.changed)
-	g.changed = make(chan struct{})
+	g.wakeWaiting()
 }
 
 // dropGoneTargets deletes the state of targets that are gone; the mutex is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/link"
 	"github.com/flamingoreel/flamingoreel/internal/placement"
+	"github.com/flamingoreel/flamingoreel/internal/reach"
 	"github.com/flamingoreel/flamingoreel/internal/registry"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 	"github.com/flamingoreel/flamingoreel/internal/watch"
@@ -73,9 +74,15 @@
 	// within a window of some seconds, and RetrySlack is a number of retries
 	// allowed in addition.
 	RetryRatio, RetrySlack float64
-	Seed                   uint64
-	Logger                 log.Interface
-	Registry               prometheus.Registerer
+	// RelayBytes bounds the memory for requests that this VM serves for other entry
+	// VMs; 0 means 32 MiB.
+	RelayBytes int64
+	// LinkBytes is the capacity of this VM's network link in bytes per second; 0 means
+	// that it is not known and does not limit the requests of other entry VMs.
+	LinkBytes float64
+	Seed      uint64
+	Logger    log.Interface
+	Registry  prometheus.Registerer
 }
 
 // Gateway is a running entry VM.
@@ -113,8 +120,15 @@
 	// samples holds, by service, the keys and service times of sharded services
 	// observed since the last watch.
 	samples map[string]*registry.Samples
-	rng     *rand.Rand
-
+	// path is the state of this VM's own path to targets, and peers selects the
+	// entry VMs that relay requests while it is broken.
+	path  *reach.Path
+	peers *reach.Peers
+	// linkBudget limits the requests that this VM serves for others.
+	linkBudget *reach.LinkBudget
+	rng        *rand.Rand
+
+	relayLimit *relayLimiter
 	stopping   stopping
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -132,6 +146,8 @@
 	// recovering reports that a goroutine checks the target until it is
 	// healthy.
 	recovering bool
+	// checks distinguishes that goroutine from earlier ones that have not ended yet.
+	checks int
 	// usedSinceCheck reports that a request was sent since the last check of
 	// cold targets.
 	usedSinceCheck bool
@@ -152,10 +168,14 @@
 		routeWork: make(map[string]time.Duration),
 		subsets:   make(map[string]map[string]bool),
 		samples:   make(map[string]*registry.Samples), stopping: newStopping(),
+		path: reach.NewPath(), peers: reach.NewPeers(reach.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}),
+		relayLimit: newRelayLimiter(cfg.RelayBytes), linkBudget: reach.NewLinkBudget(cfg.LinkBytes),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	g.view.Store(fleet.NewView())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.metrics.registerPath(cfg.Registry, g)
+	links.Handle(methodRelay, g.handleRelay)
 	links.Serve()
 	g.start(g.watchControl)
 	g.start(g.sweepIdle)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -31,20 +31,30 @@
 		return
 	}
 	c.state.recovering = true
+	c.state.checks++
+	checks := c.state.checks
 	c.state.Block(forever)
 	g.cfg.Logger.WithFields(log.Fields{"target": c.endpoint.ID, "address": c.endpoint.Address}).Warn("target lost")
 	g.pool.CloseIdle(c.endpoint.Address)
-	g.start(func(ctx context.Context) { g.checkUntilHealthy(ctx, c) })
+	g.start(func(ctx context.Context) { g.checkUntilHealthy(ctx, c, checks) })
 }
 
-// checkUntilHealthy checks a target until it is healthy or gone from the view.
-func (g *Gateway) checkUntilHealthy(ctx context.Context, c choice) {
+// checkUntilHealthy checks a target until it is healthy or gone from the view, or
+// until the checks with the given number are abandoned. It pauses while this VM
+// reaches no target.
+func (g *Gateway) checkUntilHealthy(ctx context.Context, c choice, checks int) {
 	interval := firstCheckDelay
 	for clock.Sleep(ctx, interval) {
 		e, ok := g.view.Load().Endpoint(c.endpoint.ID)
 		if !ok || e.StartMs != c.endpoint.StartMs {
 			return
 		}
+		if g.isolated() {
+			continue
+		}
+		if g.checksAbandoned(c, checks) {
+			return
+		}
 		if coldFor, healthy := g.checkHealth(ctx, c); healthy {
 			now := g.now()
 			g.mu.Lock()
@@ -59,6 +69,13 @@
 	}
 }
 
+// checksAbandoned reports whether the target was made usable meanwhile.
+func (g *Gateway) checksAbandoned(c choice, checks int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.state.checks != checks
+}
+
 // checkHealth sends a health check to a target and returns how long the target
 // stays cold and whether it is healthy.
 func (g *Gateway) checkHealth(ctx context.Context, c choice) (coldFor time.Duration, healthy bool) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,9 @@
 	sends    *prometheus.CounterVec
 	probes   prometheus.Counter
 	faults   prometheus.Counter
+	// relayed counts requests relayed for this VM (sent) and by it (received).
+	relayed    *prometheus.CounterVec
+	pathChecks *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -36,8 +39,30 @@
 			Name: "flamingoreel_gateway_faults_total", Help: "Panics that were caught.",
 		}),
 	}
+	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "flamingoreel_gateway_relayed_total", Help: "Requests relayed by other entry VMs (sent) and for them (received) by outcome.",
+	}, []string{"direction", "outcome"})
+	m.pathChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "flamingoreel_gateway_path_checks_total", Help: "Checks whether this VM reaches targets by outcome.",
+	}, []string{"outcome"})
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.sends, m.probes, m.faults)
+		registry.MustRegister(m.requests, m.latency, m.sends, m.probes, m.faults, m.relayed, m.pathChecks)
 	}
 	return m
 }
+
+// registerPath registers the gauges of the path to targets.
+func (m *metrics) registerPath(registry prometheus.Registerer, g *Gateway) {
+	if registry == nil {
+		return
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "flamingoreel_gateway_path_state", Help: "Path of requests to targets: 0 direct, 1 isolated (relayed), 2 returning.",
+	}, func() float64 { return float64(g.pathState()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "flamingoreel_gateway_targets_reached", Help: "Targets that responded to this VM within the last second.",
+	}, func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.path.AnsweredTargets(g.now()))
+	}))
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -67,6 +67,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.state.Ended()
+	g.updatePath(now, c.endpoint.Address, failure)
 	if s.Load != nil {
 		defer c.state.AddReport(now, *s.Load)
 		g.pressure(c.endpoint.Service).AddReport(*s.Load)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -76,6 +76,13 @@
 	usableAt       time.Duration
 	failedResponse *upstream.Response
 	lastTarget     string
+	// relayed reports that the request comes from another entry VM, and peer is the
+	// entry VM that relayed it for this one.
+	relayed bool
+	peer    string
+	// lostRelays counts the relayed attempts of which it is not known whether a
+	// target ran the request.
+	lostRelays int
 }
 
 // streamGrace is how long after the timeout of its route a response may still
@@ -134,6 +141,9 @@
 		g.sampleKey(a.service, req.Key)
 		g.mu.Unlock()
 	}
+	if !g.admitOwn(now, a.service) {
+		return g.refuseBeforeServing(req, errkind.New(errkind.Overloaded, "the link of this VM has no capacity left"))
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(a.deadline-now, cancel)
 	unlink := context.AfterFunc(g.stopping.serviceCtx, cancel)
@@ -153,8 +163,8 @@
 	return result
 }
 
-// pickService chooses the service of a request by the route's weights and adds
-// the request's share of a retry to the service's retry budget.
+// pickService chooses the service of a request by the route's weights. It adds the
+// request's share of a retry to the service's retry budget.
 func (g *Gateway) pickService(item items.Item) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -200,7 +210,18 @@
 // run sends the request until there is a final answer.
 func (a *activeRequest) run(ctx context.Context) Result {
 	for {
+		if a.viaPeer() {
+			if result, ok := a.relay(ctx); ok {
+				return result
+			}
+			if a.mustRelay() {
+				return a.failureResult(errIsolated())
+			}
+		}
 		c, failure := a.choose(ctx)
+		if failure != nil && a.mustRelay() {
+			continue
+		}
 		if failure != nil {
 			return a.failureResult(failure)
 		}
@@ -319,13 +340,16 @@
 	}
 	a.g.metrics.requests.WithLabelValues(string(a.route.Kind), outcome).Inc()
 	a.g.metrics.latency.WithLabelValues(string(a.route.Kind)).Observe(took.Seconds())
+	if r.Response != nil {
+		a.g.observeSize(a.service, int64(len(a.req.Body))+max(r.Response.Length, int64(len(r.Response.Body))))
+	}
 	if outcome == "answered" {
 		return
 	}
 	entry := a.g.cfg.Logger.WithFields(log.Fields{
 		"request": a.req.ID, "route": a.name, "version": version, "service": a.service, "kind": a.route.Kind,
 		"sends": a.attempts, "target": a.lastTarget, "took": took.Round(time.Millisecond), "left": (a.deadline - a.g.now()).Round(time.Millisecond),
-		"state_age": (a.g.now() - time.Duration(a.g.stateTime.Load())).Round(time.Millisecond), "outcome": outcome, "key": a.req.Key,
+		"state_age": (a.g.now() - time.Duration(a.g.stateTime.Load())).Round(time.Millisecond), "outcome": outcome, "key": a.req.Key, "relayed_by": a.peer,
 	})
 	if r.Err != nil {
 		entry = entry.WithFields(log.Fields{"reason": r.Err.Error(), "retry_after": r.RetryAfter.Round(time.Millisecond)})
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -12,6 +12,8 @@
 	// refusing reports that new requests are refused because they may not
 	// finish in time.
 	refusing atomic.Bool
+	// declining reports that requests of other entry VMs are declined.
+	declining atomic.Bool
 	// serviceCtx ends when all requests must get their final answer.
 	serviceCtx    context.Context
 	cancelService context.CancelFunc
@@ -22,6 +24,10 @@
 	return stopping{serviceCtx: service, cancelService: end}
 }
 
+// DeclineRelayed makes the gateway decline requests that other entry VMs relay from
+// now on. They reach another VM at once.
+func (g *Gateway) DeclineRelayed() { g.stopping.declining.Store(true) }
+
 // RefuseNew makes the gateway refuse requests that arrive from now on. Their
 // callers are told to retry and then reach another entry VM.
 func (g *Gateway) RefuseNew() { g.stopping.refusing.Store(true) }
