--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -19,7 +19,7 @@
 )
 
 // freeAddr returns a loopback address that was free when it was called.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,7 +49,7 @@
 	return len(f.ids)
 }
 
-func newTarget(t *testing.T, answer http.HandlerFunc) *testTarget {
+func newTarget(t testing.TB, answer http.HandlerFunc) *testTarget {
 	f := &testTarget{}
 	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/health" {
@@ -80,7 +80,7 @@
 
 // testbed is a gateway with targets of one service and one route of each kind.
 type testbed struct {
-	t     *testing.T
+	t     testing.TB
 	g     *Gateway
 	index uint64
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -29,7 +29,7 @@
 
 // newRelayBed starts an entry VM in region r that reaches none of the targets, and
 // one peer in each of the given regions.
-func newRelayBed(t *testing.T, regions []string, targets ...*testTarget) *relayBed {
+func newRelayBed(t testing.TB, regions []string, targets ...*testTarget) *relayBed {
 	t.Helper()
 	entries := []fleet.Entry{{Addr: freeAddr(t), Region: "r", DataCentre: "d"}}
 	for i, region := range regions {
@@ -44,7 +44,7 @@
 }
 
 // newRelayEntry starts the entry VM with the given index in entries.
-func newRelayEntry(t *testing.T, entries []fleet.Entry, index int, targets []*testTarget) *testbed {
+func newRelayEntry(t testing.TB, entries []fleet.Entry, index int, targets []*testTarget) *testbed {
 	t.Helper()
 	self := entries[index]
 	g, err := New(Config{
