Match the responses of targets to requests by ID

What callers saw: a faulty target wrote a response once more on a kept connection, after the dispatcher had sent the next request there. The copy was taken for the response to that request. A copy of a refusal made an order count as not run although the target ran it, so it could go to another target; a copy of a success reached another caller; a copy of the reply to a revocation confirmed slices that were not revoked yet.

Cause: internal/target pairs responses with requests by their order on the connection only. net/http notices bytes on an idle connection, not those that arrive after the next request was written.

Change: every request to a target, grants and revocations too, carries Flamingoreel-Request-Id, a number that is unique for the client and so for each of its connections. A response with another ID counts as a lost connection, which is closed. Until a target has sent an ID, its requests go with Connection: close, and a response without an ID is accepted only from a connection that carried no request before. So targets that don't know the header stay correct, at the price of a connection for each request. The stand-in repeats the ID. TestRequestIsNeverSentTwice sets the client to reuse connections, which it tests.

Considered and not done: closing connections after refusals only. Copies of other responses would still be mixed up.

--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -37,6 +37,9 @@
 		if t.waitUnfrozen(r.Context(), run) != nil || run.isCrashed() {
 			panic(http.ErrAbortHandler)
 		}
+		if id := r.Header.Get(target.HeaderRequestID); id != "" {
+			w.Header().Set(target.HeaderRequestID, id)
+		}
 		serve(run, w, r)
 	}
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -36,6 +37,11 @@
 type Client struct {
 	addr                    string
 	requests, grant, revoke *http.Transport
+	// lastID is the number in the ID of the newest request.
+	lastID atomic.Uint64
+	// echoesIDs is true once the target has sent a response with the ID of its
+	// request. Until then each request takes a new connection.
+	echoesIDs atomic.Bool
 }
 
 // NewClient returns a client with at most maxConns connections for requests. A
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -72,6 +72,7 @@
 			})
 			c := NewClient(addr, 1, nil)
 			defer c.Close()
+			c.echoesIDs.Store(true) // The second request reuses the connection.
 			if _, err := c.Do(t.Context(), Request{Method: "POST", Path: "/", MaxResponseBytes: 10}); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -42,6 +43,7 @@
 	errTooLarge       = errors.New("response larger than allowed")
 	errNoLength       = errors.New("response without length or chunks may be truncated")
 	errProtocolSwitch = errors.New("target switched protocols")
+	errOtherRequest   = errors.New("response to another request")
 )
 
 // Do sends a request to the target and reads the complete response. Its errors are
@@ -50,7 +52,8 @@
 //   - TargetUnreachable when ctx ended or a dial failed before there was a
 //     connection, so that no byte of the request was sent,
 //   - TargetRefused when the response carries the outcome not_run,
-//   - TargetLost when the connection was lost or the response is incomplete,
+//   - TargetLost when the connection was lost or the response is incomplete or
+//     answers another request,
 //   - AnswerTimeout when ctx ended once there was a connection, and
 //   - AnswerTooLarge when the body exceeds MaxResponseBytes.
 func (c *Client) Do(ctx context.Context, req Request) (Response, error) {
@@ -67,21 +70,43 @@
 
 // exchange sends a request once and reads the complete response.
 func (c *Client) exchange(ctx context.Context, t *http.Transport, req Request) (Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var conn atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info) }}
 	r, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), req)
 	if err != nil {
 		return Response{}, errkind.Wrap(errkind.BadRequest, err, "request for %s", c.addr)
 	}
 	resp, err := t.RoundTrip(r)
 	if err != nil {
-		return Response{}, c.classify(ctx, err, connected.Load())
+		return Response{}, c.classify(ctx, err, conn.Load() != nil)
+	}
+	if !c.matches(resp, *conn.Load()) {
+		_ = conn.Load().Conn.Close()
+		_ = resp.Body.Close()
+		return Response{}, c.classify(ctx, errOtherRequest, true)
 	}
 	body, err := readAll(resp, req.Method, req.MaxResponseBytes)
 	if err != nil {
 		return Response{}, c.classify(ctx, err, true)
 	}
-	return Response{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+	header := endToEnd(resp.Header)
+	header.Del(HeaderRequestID)
+	return Response{Status: resp.StatusCode, Header: header, Body: body}, nil
+}
+
+// matches reports whether a response answers its request. A faulty target may
+// send a response once more, so one without an ID is accepted only from a
+// connection that carried no request before.
+func (c *Client) matches(resp *http.Response, conn httptrace.GotConnInfo) bool {
+	id := resp.Header.Get(HeaderRequestID)
+	if id == "" {
+		return !conn.Reused
+	}
+	if id != resp.Request.Header.Get(HeaderRequestID) {
+		return false
+	}
+	c.echoesIDs.Store(true)
+	return true
 }
 
 // classify wraps err with its error kind. connected means that bytes of the
@@ -119,6 +144,8 @@
 		// An empty value keeps net/http from adding its default.
 		r.Header["User-Agent"] = []string{""}
 	}
+	r.Header.Set(HeaderRequestID, strconv.FormatUint(c.lastID.Add(1), 10))
+	r.Close = !c.echoesIDs.Load()
 	r.Body, r.ContentLength = newSingleUseBody(req.Body)
 	return r, nil
 }
