Reject response heads that contain a second status line

What callers see with a faulty target that begins to send an earlier response once more, breaks off within a line and then sends the response to the request: a 503 that promises that a post did not run, although the target ran it (or the post goes to a second target), or the status of another response with the stamp and the body of this one.

Cause: "HTTP/1.1 503 Servi" followed by "HTTP/1.1 200 OK\r\n..." parses as one head with the status of the first part and the headers of the second one, so the request's ID matches. The same happens within a header value.

A version alone is allowed, because Via contains one.

After: go test -race ./internal/upstream ./internal/target ./internal/gateway, no failure.

--- a/internal/target/duplicate_test.go
+++ b/internal/target/duplicate_test.go
@@ -136,6 +136,24 @@
 	}
 }
 
+// Guards against a part of an earlier refusal whose headers are taken for those of
+// the response that follows it: an order that ran would count as refused.
+func TestPartOfARefusalIsNotMixedIn(t *testing.T) {
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nDate: x\r\nContent-Length: 0\r\n\r\n", HeaderOutcome, errkind.NotRun)
+	for n := range len(refusal) {
+		addr, _ := rawTarget(t, func(request int64, w io.Writer) bool {
+			_, err := fmt.Fprintf(w, "%sHTTP/1.1 200 OK\r\n%s: %d\r\nContent-Length: 2\r\n\r\nok", refusal[:n], HeaderRequestID, request)
+			return err == nil
+		})
+		c := NewClient(addr, 1, nil)
+		resp, err := c.Do(t.Context(), Request{Method: "POST", Path: "/", MaxResponseBytes: 10})
+		if n > 0 && kindOf(err) != errkind.TargetLost || n == 0 && (err != nil || string(resp.Body) != "ok") {
+			t.Errorf("after %q: got %+v, %v", refusal[:n], resp, err)
+		}
+		c.Close()
+	}
+}
+
 // Guards against a new connection for each request to a target whose responses
 // carry the ID of their request.
 func TestConnectionsAreReusedWhenResponsesAreIdentified(t *testing.T) {
--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/upstream"
 )
 
 // Request is one request to a target.
@@ -98,6 +99,9 @@
 // send a response once more, so one without an ID is accepted only from a
 // connection that carried no request before.
 func (c *Client) matches(resp *http.Response, conn httptrace.GotConnInfo) bool {
+	if upstream.HasMergedHead(resp) {
+		return false
+	}
 	id := resp.Header.Get(HeaderRequestID)
 	if id == "" {
 		return !conn.Reused
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -140,6 +140,9 @@
 			}
 			return nil, err
 		}
+		if HasMergedHead(resp) {
+			return nil, ErrMergedHead
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, c.nc.SetReadDeadline(time.Time{})
 		}
