Keep retries off all connections that the request has used

A connection remembers the IDs of its last 32 requests, so that a retry of a refused request does not use it again: a late duplicate of the refusal would count as the response to the retry, and a post that runs would be reported as refused or sent to another target. At a busy holder of keys 32 requests take about 160 ms, and the backoffs of one request add up to 1.9 s, so a connection could forget the request before its retry.

Change: the request itself holds the connections of all its attempts. The IDs stay as a guard against callers that reuse an ID. More IDs for each connection were ruled out: the memory would grow with the rate.

Before: TestRetryAvoidsABusyConnection, 1 connection for both attempts. After: 2; go test -race ./internal/upstream ./internal/gateway pass.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -23,7 +23,7 @@
 	g.cfg.Dialect.Prepare(header, a.deadline-sent, c.endpoint.ID)
 	resp, failure := g.pool.Do(ctx, &upstream.Request{
 		Addr: c.endpoint.Address, Method: a.req.Method, URI: a.req.URI, Host: a.req.Host,
-		Header: header, Body: a.req.Body, HasBody: a.req.HasBody, ID: a.req.ID, MaxBufferedBytes: holdBytes,
+		Header: header, Body: a.req.Body, HasBody: a.req.HasBody, ID: a.req.ID, Used: &a.usedConns, MaxBufferedBytes: holdBytes,
 		Accept: func(r *upstream.Response) bool { return a.authentic(g.cfg.Dialect.Read(r), r) },
 	})
 	res := attemptResult{choice: c, resp: resp, failure: failure}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,6 +71,7 @@
 	// target ran the request.
 	mayHaveRun bool
 	tried      []fleet.Incarnation
+	usedConns  upstream.UsedConns
 	// usableAt is when the only target that may run the request leaves its
 	// backoff, or 0.
 	usableAt       time.Duration
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,8 +18,8 @@
 const (
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
-	// maxRecentIDs is the number of request IDs that a connection remembers.
-	// Retries follow within seconds, in which a connection sends fewer requests.
+	// maxRecentIDs is the number of request IDs that a connection remembers, for
+	// callers that reuse an ID. UsedConns covers the retries of one request.
 	maxRecentIDs = 32
 )
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -61,6 +61,7 @@
 		return errkind.Wrap(errkind.TargetLost, err, "connection to %s broke", req.Addr)
 	}
 	c.remember(req.ID)
+	req.Used.add(c)
 	if err := c.write(req); err != nil {
 		return nil, lost(err)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,10 +62,13 @@
 	Body              []byte
 	// HasBody reports whether the caller sent a body, which may be empty.
 	HasBody bool
-	// ID identifies the request; it may be empty. A connection that was used for an
-	// ID is not used for the same ID again: a duplicate of the first response would
-	// be taken for the response to the retry.
+	// ID identifies the request; it may be empty. A connection that was recently used
+	// for an ID is not used for the same ID again: a duplicate of the first response
+	// would be taken for the response to the retry.
 	ID string
+	// Used holds the connections of all attempts of the request, which are not used
+	// for it again, however long ago that was; nil for a request that is not retried.
+	Used *UsedConns
 	// MaxBufferedBytes is the maximum number of bytes of the response body that Do reads before
 	// it returns; the rest of a longer body is read from Response.Rest.
 	MaxBufferedBytes int
@@ -153,7 +156,7 @@
 func (p *Pool) getConn(ctx context.Context, req *Request) (*conn, error) {
 	addr := req.Addr
 	for {
-		c := p.popIdle(addr, req.ID)
+		c := p.popIdle(req)
 		if c == nil {
 			break
 		}
@@ -181,15 +184,15 @@
 	return c, nil
 }
 
-// popIdle removes and returns the most recently used idle connection that was
-// not used for the ID; nil if there is none.
-func (p *Pool) popIdle(addr, id string) *conn {
+// popIdle removes and returns the most recently used idle connection that was not
+// used for the request; nil if there is none.
+func (p *Pool) popIdle(req *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
+	list := p.idle[req.Addr]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; !c.hasSent(id) {
-			p.idle[addr] = slices.Delete(list, i, i+1)
+		if c := list[i]; !c.hasSent(req.ID) && !req.Used.contains(c) {
+			p.idle[req.Addr] = slices.Delete(list, i, i+1)
 			return c
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -317,3 +317,24 @@
 		}
 	}
 }
+
+// Guards against a late duplicate of a refusal that is taken for the response to a
+// retry, because the connection forgot the request over those of other callers.
+func TestRetryAvoidsABusyConnection(t *testing.T) {
+	f := startTarget(t, func(c net.Conn, n int) bool { return ok(c, "x") })
+	p := NewPool()
+	var used UsedConns
+	for i := range 3 * maxRecentIDs {
+		req := get(f.addr)
+		req.ID = fmt.Sprint("other-", i)
+		if i == 0 || i == 3*maxRecentIDs-1 {
+			req.ID, req.Used = "retried", &used
+		}
+		if _, err := do(p, req); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := f.conns.Load(); got != 2 {
+		t.Errorf("%d connections, want a second one for the retry", got)
+	}
+}
