Don't take a late duplicate of a response for a health check

Health checks use the kept connections of requests and took any response. If a faulty target sends its response to a request once more, and the check was already sent, the duplicate counted as the result of the check and the connection was returned to the pool. The result of the check then arrived as the response to the next request: a post that the target ran ended as target_lost, and the next check got the result of an older one.

Change: a health check accepts only responses without a request ID. A duplicate of an earlier check can still be taken for the next one on that connection; it answers no request, and the target said it itself.

Before: TestLateDuplicateIsNotAHealthCheck, the post after the check ended as target_lost on the only connection. After: passes, -race -count=5.

--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -71,6 +71,8 @@
 	g.metrics.probes.Inc()
 	resp, failure := g.pool.Do(ctx, &upstream.Request{
 		Addr: c.endpoint.Address, Method: http.MethodGet, URI: service.HealthPath, Host: c.endpoint.Address, Header: http.Header{}, MaxBufferedBytes: holdBytes,
+		// A response with an ID is a late duplicate of that to a request.
+		Accept: func(r *upstream.Response) bool { return g.cfg.Dialect.Read(r).RequestID == "" },
 	})
 	if failure != nil {
 		return 0, false
