Don't set TCP_USER_TIMEOUT while a long body is sent

What callers see: a post with a body that fills the socket buffers ends with 502 target_lost 1.2 s after its target was frozen or paused, although the target goes on later and would run it and answer.

Cause: connections to targets set TCP_USER_TIMEOUT to 1.2 s, so that a path that is cut is noticed. Linux applies it to zero-window probes as well: a peer that acknowledges but has no room to receive counts as gone (write: connection timed out).

Change: requests with a body above 16 KiB turn the option off on their connection, and the next request without one turns it on again. A body up to that size fits into the receive buffer, so it is acknowledged by the kernel of a frozen target. The price: if the path is cut while a long body is sent, the request ends at its deadline, as one does whose bytes were acknowledged before the cut.

Ruled out: a longer timeout for all requests, because a request whose bytes are not acknowledged after 1.2 s is often served by another target; reading TCP_INFO, whose probe intervals grow beyond the timeout.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,8 @@
 	completed int
 	// usableUntil is the time after which the idle connection is no longer used.
 	usableUntil time.Time
+	// unlimited reports that TCP_USER_TIMEOUT is not set.
+	unlimited bool
 	// recentIDs holds the IDs of the last requests, oldest first.
 	recentIDs []string
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -62,6 +62,9 @@
 	}
 	c.remember(req.ID)
 	req.Used.add(c)
+	if err := c.limitUnackedFor(req); err != nil {
+		return nil, lost(err)
+	}
 	if err := c.write(req); err != nil {
 		return nil, lost(err)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
@@ -35,7 +33,8 @@
 	// connect is not the round trip time.
 	maxResetWait = 25 * time.Millisecond
 	// unackedTimeout is how long sent data may remain unacknowledged before the
-	// connection fails. It covers two retransmissions on a lossy link.
+	// connection fails. It covers two retransmissions on a lossy link. It is not set
+	// while a long body is sent.
 	unackedTimeout = 1200 * time.Millisecond
 	// defaultIdleTime is how long an idle connection is kept if its target announces
 	// no timeout.
@@ -92,20 +91,10 @@
 func NewPool() *Pool {
 	return &Pool{
 		idle:   make(map[string][]*conn),
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: limitUnacked},
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that a connection fails when its peer
-// disappears without closing it.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, sockErr)
-}
-
 // Dials returns the number of connections that were established.
 func (p *Pool) Dials() uint64 {
 	p.mu.Lock()
