Read the response while a long request body is written

What callers saw: a target may answer before it has read a long body and read on later. Its answer came only when the target read on (3.6 s instead of at once in the test), or, with TCP_USER_TIMEOUT set, the request ended as target_lost after 1.4 s.

Cause: the response was read after the whole request had been written, and the write waits while the target does not read.

Change: a body above 16 KiB is written by a goroutine. A connection on which the body is not complete when the response is gets reset instead of returned to the pool, so the target never takes bytes of another request for the rest of the body.

Before: TestEarlyResponseIsReceived, 3.6 s. After: passes; go test -race -count=3 ./internal/upstream, and ./internal/gateway once.

--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -65,12 +65,12 @@
 	if err := c.limitUnackedFor(req); err != nil {
 		return nil, lost(err)
 	}
-	if err := c.write(req); err != nil {
+	if err := c.send(req); err != nil {
 		return nil, lost(err)
 	}
 	head, err := c.readHead(req)
 	if err != nil {
-		return nil, lost(err)
+		return nil, lost(errors.Join(err, c.writeError()))
 	}
 	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Reused: c.completed > 0}
 	if head.Close {
@@ -157,24 +157,6 @@
 	return nil, ErrUnbounded
 }
 
-// maxSingleWriteBody is the largest request body, in bytes, that is appended to
-// the head and sent with a single write.
-const maxSingleWriteBody = 16 << 10
-
-// write sends the request.
-func (c *conn) write(req *Request) error {
-	head := encodeHead(req)
-	if len(req.Body) <= maxSingleWriteBody {
-		_, err := c.nc.Write(append(head, req.Body...))
-		return err
-	}
-	if _, err := c.nc.Write(head); err != nil {
-		return err
-	}
-	_, err := c.nc.Write(req.Body)
-	return err
-}
-
 // encodeHead returns the request line and the headers, with the URI and the
 // header values unchanged.
 func encodeHead(req *Request) []byte {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -126,8 +126,12 @@
 		return nil, failure
 	}
 	release := func() {
-		if stopAbort() {
+		switch sent := c.requestSent(); {
+		case !stopAbort():
+		case sent:
 			p.putIdle(req.Addr, c, resp.Header)
+		default:
+			c.abort()
 		}
 	}
 	if resp.Rest == nil {
