Don't begin what may outlast a planned stop

What callers saw: a stopping entry passed requests on until half of its grace time or 3 s, and waiting ones (for the holder of a key, or after a refusal) until the end. Those that ran longer than the rest of the grace time were cut off with 504, posts among them, which may not be repeated, although another entry could have served them.

Change: from SIGTERM on the gateway knows when all requests must end. A request is sent to a target only if twice its expected response time is left; otherwise it is refused (503 with Retry-After) and its caller reaches another entry. Requests that were sent before are not affected.

Ruled out: a shorter deadline for the target, because its failure would take the place of the answer; refusing everything that waits when new requests are refused, because most of it would finish.

Before: TestStopBeginsNothingThatOutlastsIt failed; in a planned stop of an entry as a process (TestPlannedStopCutsOffNoPost, grace 3 s) 2 of 22 posts with 1.5 s of work, sent 1.2 s and 1.4 s after SIGTERM, got 504.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -261,6 +261,7 @@
 	}
 	p.logger.Info("draining")
 	ingress.Stopping.Store(true)
+	g.FinishWithin(s.Grace - stopMargin - responseMargin)
 	time.Sleep(min(handoffTime, s.Grace/2))
 	return drainCallers(g, server, ingress.Connections, s.Grace-min(handoffTime, s.Grace/2)-stopMargin)
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -83,6 +83,9 @@
 	if now+expected > a.deadline {
 		return choice{}, errkind.New(errkind.Overloaded, "the expected response time of %v exceeds the remaining %v", expected.Round(time.Millisecond), (a.deadline - now).Round(time.Millisecond))
 	}
+	if g.stopping.endsBefore(now + stopReserve*expected) {
+		return choice{}, errStopping()
+	}
 	if !a.admit(view, now, expected) {
 		// Another region may have capacity, for example after the loss of a
 		// data centre.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
 
+// stopReserve is the multiple of its expected response time that must be left until
+// the end of a planned stop for a request to be sent: many take longer than expected.
+const stopReserve = 2
+
 // stopping is the state of a planned stop.
 type stopping struct {
 	// refusing reports that new requests are refused because they may not
@@ -15,6 +20,8 @@
 	// serviceCtx ends when all requests must get their final answer.
 	serviceCtx    context.Context
 	cancelService context.CancelFunc
+	// end is the monotonic time at which serviceCtx is going to end, or 0.
+	end atomic.Int64
 }
 
 func newStopping() stopping {
@@ -26,12 +33,23 @@
 // callers are told to retry and then reach another entry VM.
 func (g *Gateway) RefuseNew() { g.stopping.refusing.Store(true) }
 
+// FinishWithin announces that FinishRequests follows after a time. Requests that may
+// take longer at their target are refused instead of sent: those that may not be
+// repeated would be cut off.
+func (g *Gateway) FinishWithin(d time.Duration) { g.stopping.end.Store(int64(g.now() + d)) }
+
 // FinishRequests gives all requests their final answer: requests that wait for a
 // holder of their key or for capacity are refused, and requests at a target
 // get a timeout. A connection that ends without an answer would leave its
 // caller waiting, even if the target does not respond.
 func (g *Gateway) FinishRequests() { g.stopping.cancelService() }
 
+// endsBefore reports whether the stop ends before a time.
+func (s *stopping) endsBefore(t time.Duration) bool {
+	end := s.end.Load()
+	return end != 0 && time.Duration(end) < t
+}
+
 // ended reports whether no more requests may be sent.
 func (s *stopping) ended() bool { return s.serviceCtx.Err() != nil }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -99,3 +100,36 @@
 		t.Error("a refused request reached a target")
 	}
 }
+
+// Guards against a post that reaches a target late in a planned stop and is cut off
+// when the process ends: it may not be repeated.
+func TestStopBeginsNothingThatOutlastsIt(t *testing.T) {
+	const work = 150 * time.Millisecond
+	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
+		signed(w, r)
+	})
+	b := newTestbed(t, target)
+	for i := range 8 {
+		if r := b.serve("/post/x", fmt.Sprint(i)); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+	}
+	b.g.FinishWithin(4 * work)
+	if r := b.serve("/post/x", "early"); r.Err != nil {
+		t.Errorf("got %v for a post that can finish", r.Err)
+	}
+	b.g.FinishWithin(work / 2)
+	time.AfterFunc(work/2, b.g.FinishRequests)
+	before := target.count()
+	for _, path := range []string{"/post/x", "/read/x", "/download/x"} {
+		r := b.serve(path, path)
+		wantKind(t, r, errkind.Stopping)
+		if r.RetryAfter <= 0 {
+			t.Error("the caller is not told when to retry")
+		}
+	}
+	if got := target.count() - before; got != 0 {
+		t.Errorf("the target received %d requests that could not finish", got)
+	}
+}
