--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
@@ -35,7 +33,8 @@
 	// connect is not the round trip time.
 	maxResetWait = 25 * time.Millisecond
 	// unackedTimeout is how long sent data may remain unacknowledged before the
-	// connection fails. It covers two retransmissions on a lossy link.
+	// connection fails. It covers two retransmissions on a lossy link. It is not set
+	// while a long body is sent.
 	unackedTimeout = 1200 * time.Millisecond
 	// defaultIdleTime is how long an idle connection is kept if its target announces
 	// no timeout.
@@ -62,10 +61,13 @@
 	Body              []byte
 	// HasBody reports whether the caller sent a body, which may be empty.
 	HasBody bool
-	// ID identifies the request; it may be empty. A connection that was used for an
-	// ID is not used for the same ID again: a duplicate of the first response would
-	// be taken for the response to the retry.
+	// ID identifies the request; it may be empty. A connection that was recently used
+	// for an ID is not used for the same ID again: a duplicate of the first response
+	// would be taken for the response to the retry.
 	ID string
+	// Used holds the connections of all attempts of the request, which are not used
+	// for it again, however long ago that was; nil for a request that is not retried.
+	Used *UsedConns
 	// MaxBufferedBytes is the maximum number of bytes of the response body that Do reads before
 	// it returns; the rest of a longer body is read from Response.Rest.
 	MaxBufferedBytes int
@@ -89,20 +91,10 @@
 func NewPool() *Pool {
 	return &Pool{
 		idle:   make(map[string][]*conn),
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: limitUnacked},
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that a connection fails when its peer
-// disappears without closing it.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, sockErr)
-}
-
 // Dials returns the number of connections that were established.
 func (p *Pool) Dials() uint64 {
 	p.mu.Lock()
@@ -134,9 +126,13 @@
 		return nil, failure
 	}
 	release := func() {
-		if stopAbort() {
+		switch sent := c.requestSent(); {
+		case !stopAbort():
+		case sent:
 			c.completed++
 			p.putIdle(req.Addr, c, resp.Header)
+		default:
+			c.abort()
 		}
 	}
 	if resp.Rest == nil {
@@ -154,7 +150,7 @@
 func (p *Pool) getConn(ctx context.Context, req *Request) (*conn, error) {
 	addr := req.Addr
 	for {
-		c := p.popIdle(addr, req.ID)
+		c := p.popIdle(req)
 		if c == nil {
 			break
 		}
@@ -197,15 +193,15 @@
 	return c, nil
 }
 
-// popIdle removes and returns the most recently used idle connection that was
-// not used for the ID; nil if there is none.
-func (p *Pool) popIdle(addr, id string) *conn {
+// popIdle removes and returns the most recently used idle connection that was not
+// used for the request; nil if there is none.
+func (p *Pool) popIdle(req *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
+	list := p.idle[req.Addr]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; !c.hasSent(id) {
-			p.idle[addr] = slices.Delete(list, i, i+1)
+		if c := list[i]; !c.hasSent(req.ID) && !req.Used.contains(c) {
+			p.idle[req.Addr] = slices.Delete(list, i, i+1)
 			return c
 		}
 	}
