Wait in a test until a closed peer is noticed

TestErrorKinds failed once: 'peer closed: got link_lost: io: read/write on closed pipe, want link_down'. Trace: after the test cuts the connection, the node dials its peer again at once, and the call that follows may enter the new connection before the peer's close is noticed; its bytes may then have been sent, so link_lost is right.

--- a/internal/link/call_test.go
+++ b/internal/link/call_test.go
@@ -78,6 +78,8 @@
 		go func() { <-ran; net.disconnect() }()
 		check("connection lost", errkind.LinkLost, "b", "stall", t.Context())
 		_ = b.Close()
+		// The link that was dialed again after the loss may be open until now.
+		synctest.Wait()
 		check("peer closed", errkind.LinkDown, "b", "refuse", t.Context())
 		_ = a.Close()
 		check("node closed", errkind.LinkDown, "b", "refuse", t.Context())
