Refuse to relay what outlasts a planned stop

A stopping entry VM that reaches no target would have relayed requests that it cuts off at the end of its grace time. Relayed requests now meet the same condition as those sent to targets. TestStoppingEntryRelaysNothingThatOutlastsIt failed before: the target got the request.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,6 +47,9 @@
 // relay offers the request to other entry VMs until one handles it. It returns
 // false if none did and the request did not run.
 func (a *activeRequest) relay(ctx context.Context) (Result, bool) {
+	if a.outlastsStop() {
+		return a.failureResult(errStopping()), true
+	}
 	var tried []string
 	for len(tried) < maxRelayPeers && ctx.Err() == nil && !a.g.stopping.ended() {
 		peer, ok := a.choosePeer(tried)
@@ -72,6 +75,13 @@
 	return Result{}, false
 }
 
+// outlastsStop reports whether the request would usually end after a planned stop.
+func (a *activeRequest) outlastsStop() bool {
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	return a.g.stopping.endsBefore(a.g.now() + stopReserve*a.g.workOf(a.name, a.route))
+}
+
 // choosePeer selects a peer that may get the request: the request stays in the
 // allowed regions of its route.
 func (a *activeRequest) choosePeer(tried []string) (reach.Peer, bool) {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -344,3 +344,17 @@
 		t.Error("links to unused peers stay open")
 	}
 }
+
+// Guards against a request that a stopping, isolated entry VM relays although it would
+// outlast the stop.
+func TestStoppingEntryRelaysNothingThatOutlastsIt(t *testing.T) {
+	target := newTarget(t, signed)
+	bed := newRelayBed(t, []string{"r"}, target)
+	bed.isolateNow()
+	bed.g.FinishWithin(100 * time.Millisecond)
+	r := bed.serve("/post/x", "1")
+	wantKind(t, r, errkind.Stopping)
+	if r.RetryAfter <= 0 || target.count() != 0 {
+		t.Errorf("the target got %d requests; Retry-After %v", target.count(), r.RetryAfter)
+	}
+}
