Return to the own path within a second

While an entry VM returns, part of its requests still passes the links of peers. A share that grows over 1 s instead of 2 s halves that time.

--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -45,7 +45,7 @@
 	// isolatedCheckInterval is the time between two checks while isolated.
 	isolatedCheckInterval = 500 * time.Millisecond
 	// returnTime is the time from the first successful check to the state Direct.
-	returnTime = 2 * time.Second
+	returnTime = time.Second
 	// minDirectShare is the share of direct requests at the start of Returning.
 	minDirectShare = 0.1
 )
