Receive the signals of the stand-in until it exits

SIGHUP ended a stand-in target at once, also while it drained, with the requests that it ran. It now uses internal/signals as the daemon does.

TestSignalsDoNotCutTheDrain failed before with "signal: hangup".

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,13 +6,12 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
 
+	"github.com/flamingoreel/flamingoreel/internal/signals"
 	"github.com/flamingoreel/flamingoreel/internal/standin"
 )
 
@@ -26,10 +25,9 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args, os.Stderr)
-	stop()
-	os.Exit(code)
+	received := signals.Receive()
+	received.Handle(&log.Logger{Handler: newHandler(os.Stderr), Level: log.InfoLevel}, nil)
+	os.Exit(run(received.Context(), os.Args, os.Stderr))
 }
 
 // run runs the command and returns its exit code.
