Add signals and planned work to the fault soak

The soak sent one SIGTERM to a process and no SIGHUP, so it could not find that SIGHUP ended a process that drained. And it never asked whether a request without an answer was lost: every fault excused it.

Some callers use a connection again after a long pause. The times of unplanned faults are kept.

--- a/cmd/flamingoreeld/soak_test.go
+++ b/cmd/flamingoreeld/soak_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +27,11 @@
 	soakDuration      = 6 * time.Second
 	soakFaultInterval = 350 * time.Millisecond
 	soakDeadline      = 2 * time.Second
+	// soakPause and soakLongPause are the longest times between two requests of a
+	// caller. After a long pause it uses a connection that its entry VM is about to
+	// close.
+	soakPause     = 15 * time.Millisecond
+	soakLongPause = 1500 * time.Millisecond
 	// soakRecovery is how long after the last fault all entry VMs must serve again:
 	// the users allow 15 s.
 	soakRecovery = 15 * time.Second
@@ -38,7 +45,10 @@
 func soakSeeds(t *testing.T) []uint64 {
 	spec := os.Getenv("FLAMINGOREEL_FAULT_SEEDS")
 	if spec == "" {
-		return []uint64{1, 2}
+		return []uint64{
+			1, // SIGHUP ended VMs that drained, and cut their requests
+			2,
+		}
 	}
 	first, count, _ := strings.Cut(spec, ":")
 	from, err := strconv.ParseUint(first, 10, 32)
@@ -59,7 +69,8 @@
 // Tests the guarantees to callers and operators under overlapping random faults of
 // processes, connections and heartbeats: no POST runs twice, a refused request did
 // not run, responses belong to their requests, a key has at most one holder,
-// confirmed changes persist, and service resumes.
+// confirmed changes persist, service resumes, and planned stops, signals and changes
+// of the settings cut no request.
 func TestFaultSoak(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { newSoak(t, seed).run() })
@@ -81,13 +92,18 @@
 	results []result
 	// confirmed is the number of the operator's changes that were confirmed.
 	confirmed int
+	// spans are the times with unplanned faults.
+	spans []span
 }
 
 // result is the response that a caller got; status 0 means none.
 type result struct {
 	id, method string
+	entry      int
 	status     int
 	body, want string
+	// written is when the whole request was written; zero if it was not.
+	sent, written, ended time.Time
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -117,6 +133,9 @@
 	}
 	background.Go(func() { s.operate(callers) })
 	background.Go(func() { s.watchHolders(callers) })
+	for end := time.Now().Add(soakPlannedDuration); time.Now().Before(end); time.Sleep(soakFaultInterval) {
+		s.planWork()
+	}
 	for end := time.Now().Add(soakDuration); time.Now().Before(end); time.Sleep(soakFaultInterval) {
 		s.inject()
 	}
@@ -151,40 +170,60 @@
 		if rng.IntN(2) == 0 {
 			method, path, key = "GET", "/pull/"+id, strconv.Itoa(rng.IntN(65536))
 		}
-		r := s.send(client, s.entries[rng.IntN(len(s.entries))], id, method, path, key)
+		r := s.send(client, rng.IntN(len(s.entries)), id, method, path, key)
 		s.mu.Lock()
 		s.results = append(s.results, r)
 		s.mu.Unlock()
-		time.Sleep(time.Duration(rng.IntN(15)) * time.Millisecond)
+		pause := soakPause
+		if caller%4 == 0 {
+			pause = soakLongPause
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(pause))))
+	}
+}
+
+func (s *soak) send(client *http.Client, entry int, id, method, path, key string) result {
+	var written atomic.Pointer[time.Time]
+	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			now := time.Now()
+			written.Store(&now)
+		}
+	}}
+	r := result{id: id, method: method, entry: entry, want: method + " " + path + " dues", sent: time.Now()}
+	s.exchange(httptrace.WithClientTrace(context.Background(), trace), client, &r, path, key)
+	r.ended = time.Now()
+	if at := written.Load(); at != nil {
+		r.written = *at
 	}
+	return r
 }
 
-func (s *soak) send(client *http.Client, entry, id, method, path, key string) result {
-	r := result{id: id, method: method, want: method + " " + path + " dues"}
+// exchange sends the request of a result and completes the result with the response.
+func (s *soak) exchange(ctx context.Context, client *http.Client, r *result, path, key string) {
 	// The body has no GetBody, so that the HTTP client never retries the request.
-	req, err := http.NewRequest(method, "http://"+entry+path, io.NopCloser(strings.NewReader("dues")))
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+s.entries[r.entry]+path, io.NopCloser(strings.NewReader("dues")))
 	if err != nil {
 		s.t.Error(err)
-		return r
+		return
 	}
 	req.ContentLength = int64(len("dues"))
 	req.Host = "a.example"
-	req.Header.Set("Flamingoreel-Request-Id", id)
+	req.Header.Set("Flamingoreel-Request-Id", r.id)
 	req.Header.Set("Flamingoreel-Deadline-Ms", strconv.FormatInt(soakDeadline.Milliseconds(), 10))
 	if key != "" {
 		req.Header.Set("Flamingoreel-Shard-Key", key)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return r
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return r
+		return
 	}
 	r.status, r.body = resp.StatusCode, string(body)
-	return r
 }
 
 // operate adds routes one after another and counts the confirmed ones.
@@ -262,6 +301,8 @@
 			runs += target.executionsOf(r.id)
 		}
 		switch {
+		case s.lost(r, runs):
+			s.t.Errorf("request %s to entry %d ran %d times and got no answer without an unplanned fault", r.id, r.entry, runs)
 		case r.method == "POST" && runs > 1:
 			s.t.Errorf("post %s ran %d times", r.id, runs)
 		case (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && r.method == "POST" && runs > 0:
@@ -298,7 +339,7 @@
 // inject starts one random fault that ends by itself.
 func (s *soak) inject() {
 	duration := 300*time.Millisecond + time.Duration(s.rng.IntN(1200))*time.Millisecond
-	switch kind := s.rng.IntN(10); kind {
+	switch kind := s.rng.IntN(11); kind {
 	case 0, 1, 2:
 		// At most one of the three control VMs may be lost at a time.
 		s.faultProcess("control", s.rng.IntN(len(s.controls)), kind, duration)
@@ -308,7 +349,11 @@
 		target := s.targets[s.rng.IntN(len(s.targets))]
 		s.undoAfter(4*duration, func() { target.heartbeatsOff.Store(true) }, func() { target.heartbeatsOff.Store(false) })
 	case 7:
+		end := s.unplanned(allEntries)
 		s.proxies[s.rng.IntN(len(s.proxies))].reset()
+		end()
+	case 8:
+		s.changeSettings()
 	default:
 		proxy := s.proxies[s.rng.IntN(len(s.proxies))]
 		mode := proxyPaused + proxyMode(s.rng.IntN(3))
@@ -318,20 +363,30 @@
 
 // undoAfter calls do, and undo after a duration.
 func (s *soak) undoAfter(duration time.Duration, do, undo func()) {
+	end := s.unplanned(allEntries)
 	do()
 	s.faults.Go(func() {
 		time.Sleep(duration)
 		undo()
+		end()
 	})
 }
 
+// Faults of a process.
+const (
+	faultKill = iota
+	faultSuspend
+	faultStop
+)
+
 // faultProcess kills, suspends or stops a process and restarts or resumes it.
 func (s *soak) faultProcess(role string, index, fault int, duration time.Duration) {
 	name := fmt.Sprint(role, "-", index)
-	group := name
+	group, affected := name, index
 	if role == "control" {
-		group = role
+		group, affected = role, allEntries
 	}
+	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 0))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faulty[group] {
@@ -341,18 +396,21 @@
 	cmd := s.procs[name]
 	s.faults.Go(func() {
 		switch fault {
-		case 0:
+		case faultKill:
+			end := s.unplanned(affected)
 			s.signal(name, syscall.SIGKILL)
 			_ = cmd.Wait()
 			time.Sleep(duration)
 			s.restart(name)
-		case 1:
+			end()
+		case faultSuspend:
+			end := s.unplanned(affected)
 			s.signal(name, syscall.SIGSTOP)
 			time.Sleep(duration)
 			s.signal(name, syscall.SIGCONT)
+			end()
 		default:
-			s.signal(name, syscall.SIGTERM)
-			_ = cmd.Wait()
+			s.stopUnderSignals(name, cmd, rng)
 			s.restart(name)
 		}
 		// A control VM counts as lost until it has caught up.
