Break the paths of single VMs to all targets in tests

The proxy between VMs and a target can only harm a target for all VMs.

targetPaths does this in three ways: packets are dropped without an acknowledgement, also those that open a connection; established connections are reset and packets dropped; new connections are reset and established ones live on. All VMs dial the same address from 127.0.0.1, so that an unprivileged test can tell an opening packet's sender only by the CPU it comes from: isolated VMs run on half of the CPUs, and a packet filter on the listener drops what comes from there. Accepted connections are matched with their VM by /proc. A refused connection is reset after it was accepted, not before, as the kernel accepts it first.

The stand-in target records which VM sent a request, ends the work on requests to /slow when their caller leaves, and deployments may span data centres and regions.

Tried and dropped: a proxy that accepts and forwards nothing (the kernel acknowledges the data, so that neither a connection attempt nor TCP_USER_TIMEOUT fails), and one CPU for isolated VMs (beside other load the process did not run for 7 s).

--- a/cmd/flamingoreeld/platform_test.go
+++ b/cmd/flamingoreeld/platform_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -89,8 +90,18 @@
 	ready    []string
 	// links are the link addresses of all VMs.
 	links []string
+	// started, if set, is called after the start of a process.
+	started func(name string, pid int)
+	// zones is the content of the table that names the region of each data centre.
+	zones string
 }
 
+// place is the data centre and the region of a VM.
+type place struct{ dataCentre, region string }
+
+// firstPlace is where the control VMs are.
+var firstPlace = place{"z1", "r1"}
+
 // freePort returns a port that was free when it was chosen.
 func freePort(t *testing.T) int {
 	t.Helper()
@@ -113,21 +124,26 @@
 }
 
 const settingsTemplate = `
-self: {node_name: "%[1]s", ip: "%[2]s", zone: "z1", region: "r1", bootstrap: %[3]t, data_dir: "%[4]s", limits: {memory_mb: 280}}
+self: {node_name: "%[1]s", ip: "%[2]s", zone: "%[9]s", region: "%[10]s", bootstrap: %[3]t, data_dir: "%[4]s", limits: {memory_mb: 280}}
 network:
   listen: {%[5]s}
   internal_ports: [%[6]d, %[7]d]
   seeds: [%[8]s]
-  zones: {z1: "r1", z2: "r1"}
+  zones: {%[11]s}
 terms:
   fault_tolerance: {machines: 1}
   bounds: {grace: "3s", retry_ratio: 0.2, retry_slack: 20, cold_factor: 1.5, cold_slack: 5}
 `
 
-// newDeployment starts three control VMs and some entry VMs. Each VM has its own
-// address in 127.0.network.0/24, so that all can use the same ports.
+// newDeployment starts three control VMs and some entry VMs in one data centre.
 func newDeployment(t *testing.T, network, entries int) *deployment {
-	s := &deployment{t: t, dir: t.TempDir(), procs: make(map[string]*exec.Cmd)}
+	return newDeploymentIn(t, network, slices.Repeat([]place{firstPlace}, entries))
+}
+
+// newDeploymentIn starts three control VMs, and an entry VM at each place. Each VM has
+// its own address in 127.0.network.0/24, so that all can use the same ports.
+func newDeploymentIn(t *testing.T, network int, places []place) *deployment {
+	s := &deployment{t: t, dir: t.TempDir(), procs: make(map[string]*exec.Cmd), zones: zoneTable(places)}
 	ports := freePorts(t, 4)
 	linkPort, controlPort, callerPort, readyPort := ports[0], ports[1], ports[2], ports[3]
 	var seeds []string
@@ -138,22 +154,34 @@
 	}
 	s.seeds = strings.Join(seeds, ", ")
 	for i, addr := range s.controls {
-		s.start(fmt.Sprintf("control-%d", i), fmt.Sprintf("127.0.%d.%d", network, i+1), linkPort, fmt.Sprintf("control: %q", addr))
+		s.start(fmt.Sprintf("control-%d", i), fmt.Sprintf("127.0.%d.%d", network, i+1), linkPort, firstPlace, fmt.Sprintf("control: %q", addr))
 	}
-	for i := range entries {
+	for i, place := range places {
 		ip := fmt.Sprintf("127.0.%d.%d", network, 11+i)
 		s.entries = append(s.entries, net.JoinHostPort(ip, strconv.Itoa(callerPort)))
 		s.ready = append(s.ready, net.JoinHostPort(ip, strconv.Itoa(readyPort)))
-		s.start(fmt.Sprintf("entry-%d", i), ip, linkPort, fmt.Sprintf("front: %q, ready_addr: %q", s.entries[i], s.ready[i]))
+		s.start(fmt.Sprintf("entry-%d", i), ip, linkPort, place, fmt.Sprintf("front: %q, ready_addr: %q", s.entries[i], s.ready[i]))
 	}
 	return s
 }
 
+// zoneTable returns the data centres of z1, z2 and the places with their regions.
+func zoneTable(places []place) string {
+	var rows []string
+	for _, p := range append([]place{firstPlace, {"z2", "r1"}}, places...) {
+		if row := fmt.Sprintf("%s: %q", p.dataCentre, p.region); !slices.Contains(rows, row) {
+			rows = append(rows, row)
+		}
+	}
+	return strings.Join(rows, ", ")
+}
+
 // start writes the settings of a VM and runs it.
-func (s *deployment) start(name, ip string, linkPort int, listen string) {
+func (s *deployment) start(name, ip string, linkPort int, at place, listen string) {
 	path := filepath.Join(s.dir, name+".yaml")
 	s.links = append(s.links, net.JoinHostPort(ip, strconv.Itoa(linkPort)))
-	text := fmt.Sprintf(settingsTemplate, name, ip, true, filepath.Join(s.dir, name), listen, linkPort, linkPort+8, s.seeds)
+	text := fmt.Sprintf(settingsTemplate, name, ip, true, filepath.Join(s.dir, name), listen, linkPort, linkPort+8, s.seeds,
+		at.dataCentre, at.region, s.zones)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -174,6 +202,9 @@
 		s.t.Fatal(err)
 	}
 	s.procs[name] = cmd
+	if s.started != nil {
+		s.started(name, cmd.Process.Pid)
+	}
 	s.t.Cleanup(func() {
 		if cmd.ProcessState == nil {
 			_ = cmd.Process.Kill()
--- a/cmd/flamingoreeld/proxy_test.go
+++ b/cmd/flamingoreeld/proxy_test.go
@@ -33,6 +33,8 @@
 type faultyProxy struct {
 	listener net.Listener
 	target   string
+	// paths, if set, breaks the paths of single VMs.
+	paths *targetPaths
 
 	mu    sync.Mutex
 	mode  proxyMode
@@ -42,7 +44,10 @@
 // newProxy returns a proxy that listens but accepts connections only after serve.
 func newProxy(t *testing.T) *faultyProxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Multipath TCP sockets have no packet filters.
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,6 +62,9 @@
 // serve forwards connections to the address target.
 func (p *faultyProxy) serve(target string) {
 	p.target = target
+	if p.paths != nil {
+		p.paths.listen(p.listener)
+	}
 	go p.accept()
 }
 
@@ -89,28 +97,44 @@
 		if err != nil {
 			return
 		}
-		upstream, err := net.Dial("tcp", p.target)
-		if err != nil {
-			_ = client.Close()
+		if p.paths == nil {
+			p.connect(client, "")
 			continue
 		}
-		p.mu.Lock()
-		p.conns[client], p.conns[upstream] = true, true
-		p.mu.Unlock()
-		go p.forward(upstream, client, false)
-		go p.forward(client, upstream, true)
+		go func() {
+			if name, ok := p.paths.accepted(client.(*net.TCPConn)); ok {
+				p.connect(client, name)
+			}
+		}()
+	}
+}
+
+// connect forwards a connection of the VM name to the target.
+func (p *faultyProxy) connect(client net.Conn, name string) {
+	upstream, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	if p.paths != nil {
+		p.paths.forward(name, upstream)
 	}
+	p.mu.Lock()
+	p.conns[client], p.conns[upstream] = true, true
+	p.mu.Unlock()
+	go p.forward(upstream, client, false, name)
+	go p.forward(client, upstream, true, name)
 }
 
 // forward copies bytes in one direction until a side ends. Responses is true in the
 // direction from the target.
-func (p *faultyProxy) forward(to, from net.Conn, responses bool) {
+func (p *faultyProxy) forward(to, from net.Conn, responses bool, name string) {
 	defer p.closeConns(to, from)
 	buf := make([]byte, 4<<10)
 	for {
 		n, err := from.Read(buf)
 		mode := p.currentMode()
-		for ; mode == proxyPaused; mode = p.currentMode() {
+		for ; mode == proxyPaused || p.paths != nil && p.paths.held(name); mode = p.currentMode() {
 			time.Sleep(proxyPollInterval)
 		}
 		if mode == proxySlow {
@@ -133,5 +157,8 @@
 	for _, c := range conns {
 		_ = c.Close()
 		delete(p.conns, c)
+		if p.paths != nil {
+			p.paths.closed(c.(*net.TCPConn))
+		}
 	}
 }
--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,7 +30,9 @@
 	// announcedAddr is the address in the target's heartbeats; empty for its own.
 	announcedAddr string
 	// proxy, if set, forwards connections to the target.
-	proxy    *faultyProxy
+	proxy *faultyProxy
+	// paths, if set, knows which VM sent a request.
+	paths    *targetPaths
 	listener net.Listener
 	stop     chan struct{}
 	// heartbeatsOff is true while the target sends no heartbeats.
@@ -44,8 +48,17 @@
 	released [][]any
 	// executions counts the runs of each request ID.
 	executions map[string]int
+	// senders are the VMs that sent a request that ran, by request ID.
+	senders map[string][]string
+	// lastSent is when each VM last sent a request that ran, and inProgress holds the
+	// requests that run now.
+	lastSent   map[string]time.Time
+	inProgress map[string]bool
 }
 
+// slowPath ends the paths of requests that run until their caller leaves.
+const slowPath = "/slow"
+
 // heartbeatInterval is shorter than the platform's heartbeat interval, to keep the
 // tests short.
 const heartbeatInterval = 200 * time.Millisecond
@@ -57,7 +70,8 @@
 		t.Fatal(err)
 	}
 	p.t, p.listener, p.state, p.startMs = t, listener, "ready", time.Now().UnixMilli()
-	p.stop, p.executions = make(chan struct{}), make(map[string]int)
+	p.stop, p.executions, p.senders = make(chan struct{}), make(map[string]int), make(map[string][]string)
+	p.lastSent, p.inProgress = make(map[string]time.Time), make(map[string]bool)
 	if p.proxy != nil {
 		p.proxy.serve(listener.Addr().String())
 	}
@@ -190,13 +204,30 @@
 	if err != nil {
 		return
 	}
+	p.execute(r, id)
+	w.Header().Set("Flamingoreel-Response-Stamp", "stamp-"+p.id)
+	w.Header().Set("Flamingoreel-Server-Load", "1,0,4,100")
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+// execute runs a request.
+func (p *platformTarget) execute(r *http.Request, id string) {
 	p.mu.Lock()
 	p.executions[id]++
+	if p.paths != nil {
+		sender := p.paths.sender(r.RemoteAddr)
+		p.senders[id] = append(p.senders[id], sender)
+		p.lastSent[sender] = time.Now()
+	}
+	p.inProgress[id] = true
 	p.mu.Unlock()
+	if strings.HasSuffix(r.URL.Path, slowPath) {
+		<-r.Context().Done()
+	}
 	time.Sleep(p.serviceTime)
-	w.Header().Set("Flamingoreel-Response-Stamp", "stamp-"+p.id)
-	w.Header().Set("Flamingoreel-Server-Load", "1,0,4,100")
-	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inProgress, id)
 }
 
 // held returns the key ranges that the target holds at now. The caller holds mu.
@@ -217,6 +248,27 @@
 	return p.executions[id]
 }
 
+// sendersOf returns the VMs from which a request came that ran.
+func (p *platformTarget) sendersOf(id string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.senders[id])
+}
+
+// lastFrom returns when a VM last sent a request that ran.
+func (p *platformTarget) lastFrom(name string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastSent[name]
+}
+
+// working reports whether a request is in progress.
+func (p *platformTarget) working(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inProgress[id]
+}
+
 // client is the HTTP client of operators and targets.
 var client = &http.Client{Timeout: time.Second}
 
