Isolate entry VMs from all targets in the fault soak

The soak harms processes, single targets and heartbeats, never the paths of one VM to all targets. Two of its twelve kinds of fault now do so for 1 to 4 s, in each of three ways, for one entry VM or all of a data centre, and overlap with the others. One entry VM of the soak moves to another data centre for this. VMs are pinned to CPUs only while a path is broken.

--- a/cmd/flamingoreeld/paths_test.go
+++ b/cmd/flamingoreeld/paths_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -40,14 +41,14 @@
 // targetPaths breaks the paths between single VMs and all proxied targets, in one way at
 // a time. All VMs dial the same address from the same IP address, and an unprivileged
 // process can recognise a VM before it accepts its connection only by the CPU that sends
-// the packets: on loopback, the same CPU receives them. Therefore VMs with a broken path
-// run on half of the CPUs and the other VMs on the other half.
+// the packets: on loopback, the same CPU receives them. Therefore entry VMs with a broken
+// path run on half of the CPUs and the other ones on the other half.
 type targetPaths struct {
 	t *testing.T
-	// usual are the CPUs of VMs whose path is intact, and broken, from firstBroken on,
-	// those of the others.
-	usual, broken unix.CPUSet
-	firstBroken   int
+	// all are the CPUs of the test. While paths are broken, intact are those of the VMs
+	// that reach targets, and broken, from firstBroken on, those of the others.
+	all, intact, broken unix.CPUSet
+	firstBroken         int
 
 	mu        sync.Mutex
 	pids      map[string]int
@@ -60,27 +61,37 @@
 	senders map[string]string
 }
 
-// newTargetPaths returns the intact paths of the VMs of a deployment.
-func newTargetPaths(t *testing.T, s *deployment) *targetPaths {
+// minPathCPUs is the number of CPUs that targetPaths needs.
+const minPathCPUs = 2
+
+// allowedCPUs returns the CPUs on which the test may run.
+func allowedCPUs(t *testing.T) (cpus []int) {
 	t.Helper()
-	p := &targetPaths{t: t, pids: make(map[string]int), conns: make(map[*net.TCPConn]string), senders: make(map[string]string)}
 	var allowed unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &allowed); err != nil {
 		t.Fatal(err)
 	}
-	var cpus []int
 	for cpu := range len(allowed) * strconv.IntSize {
 		if allowed.IsSet(cpu) {
 			cpus = append(cpus, cpu)
 		}
 	}
-	if len(cpus) < 2 {
+	return cpus
+}
+
+// newTargetPaths returns the intact paths of the VMs of a deployment.
+func newTargetPaths(t *testing.T, s *deployment) *targetPaths {
+	t.Helper()
+	p := &targetPaths{t: t, pids: make(map[string]int), conns: make(map[*net.TCPConn]string), senders: make(map[string]string)}
+	cpus := allowedCPUs(t)
+	if len(cpus) < minPathCPUs {
 		t.Skip("needs two CPUs to tell the connections of VMs apart")
 	}
 	p.firstBroken = cpus[len(cpus)/2]
 	for _, cpu := range cpus {
+		p.all.Set(cpu)
 		if cpu < p.firstBroken {
-			p.usual.Set(cpu)
+			p.intact.Set(cpu)
 		} else {
 			p.broken.Set(cpu)
 		}
@@ -88,8 +99,10 @@
 	s.started = func(name string, pid int) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.pids[name] = pid
-		p.pin(name)
+		if strings.HasPrefix(name, "entry-") {
+			p.pids[name] = pid
+			p.pin(name)
+		}
 	}
 	for name, cmd := range s.procs {
 		s.started(name, cmd.Process.Pid)
@@ -102,9 +115,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault, p.isolated = fault, names
-	for _, name := range names {
-		p.pin(name)
-	}
+	p.pinAll()
 	if fault != pathRefused {
 		for _, l := range p.listeners {
 			p.dropFromBroken(l)
@@ -137,11 +148,22 @@
 			p.detach(c)
 		}
 	}
-	for _, name := range names {
+	p.pinAll()
+}
+
+func (p *targetPaths) pinAll() {
+	for name := range p.pids {
 		p.pin(name)
 	}
 }
 
+// isolating reports whether a path is broken.
+func (p *targetPaths) isolating() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault != pathOpen
+}
+
 // held reports whether bytes to a VM are held back.
 func (p *targetPaths) held(name string) bool {
 	p.mu.Lock()
@@ -152,8 +174,11 @@
 // pin moves all threads of a VM to the CPUs that stand for its fault. The caller holds
 // the mutex.
 func (p *targetPaths) pin(name string) {
-	cpus := p.usual
-	if slices.Contains(p.isolated, name) {
+	cpus := p.intact
+	switch {
+	case p.fault == pathOpen:
+		cpus = p.all
+	case slices.Contains(p.isolated, name):
 		cpus = p.broken
 	}
 	// A thread that starts meanwhile may have inherited the earlier CPUs.
@@ -284,13 +309,10 @@
 		return ""
 	}
 	p.mu.Lock()
-	pids := make(map[string]int, len(p.pids))
-	for name, pid := range p.pids {
-		pids[name] = pid
-	}
+	pids := maps.Clone(p.pids)
 	p.mu.Unlock()
 	for name, pid := range pids {
-		if strings.HasPrefix(name, "entry-") && hasSocket(pid, inode) {
+		if hasSocket(pid, inode) {
 			return name
 		}
 	}
--- a/cmd/flamingoreeld/soak_test.go
+++ b/cmd/flamingoreeld/soak_test.go
@@ -19,7 +19,6 @@
 const (
 	// soakNetwork is the third octet of the VMs' addresses.
 	soakNetwork       = 10
-	soakEntries       = 3
 	soakTargets       = 3
 	soakCallers       = 8
 	soakDuration      = 6 * time.Second
@@ -72,6 +71,8 @@
 	rng     *rand.Rand
 	targets []*platformTarget
 	proxies []*faultyProxy
+	// paths breaks the paths of single entry VMs; nil if there are too few CPUs.
+	paths *targetPaths
 	// faults counts the faults that are not undone yet.
 	faults sync.WaitGroup
 
@@ -91,10 +92,14 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{deployment: newDeployment(t, soakNetwork, soakEntries), rng: rand.New(rand.NewPCG(seed, 11)), faulty: make(map[string]bool)}
+	s := &soak{deployment: newDeploymentIn(t, soakNetwork, soakPlaces), rng: rand.New(rand.NewPCG(seed, 11)), faulty: make(map[string]bool)}
+	if len(allowedCPUs(t)) >= minPathCPUs {
+		s.paths = newTargetPaths(t, s.deployment)
+	}
 	for _, service := range []string{"ledger", "reports"} {
 		for i := range soakTargets {
 			proxy := newProxy(t)
+			proxy.paths = s.paths
 			target := startPlatformTarget(t, &platformTarget{
 				id: fmt.Sprint(service, "-", i), service: service, zone: fmt.Sprint("z", i%2+1), sharded: service == "reports",
 				controls: s.controls, serviceTime: 20 * time.Millisecond, announcedAddr: proxy.listener.Addr().String(), proxy: proxy,
@@ -298,7 +303,7 @@
 // inject starts one random fault that ends by itself.
 func (s *soak) inject() {
 	duration := 300*time.Millisecond + time.Duration(s.rng.IntN(1200))*time.Millisecond
-	switch kind := s.rng.IntN(10); kind {
+	switch kind := s.rng.IntN(12); kind {
 	case 0, 1, 2:
 		// At most one of the three control VMs may be lost at a time.
 		s.faultProcess("control", s.rng.IntN(len(s.controls)), kind, duration)
@@ -307,7 +312,9 @@
 	case 6:
 		target := s.targets[s.rng.IntN(len(s.targets))]
 		s.undoAfter(4*duration, func() { target.heartbeatsOff.Store(true) }, func() { target.heartbeatsOff.Store(false) })
-	case 7:
+	case 7, 8:
+		s.isolateEntries()
+	case 9:
 		s.proxies[s.rng.IntN(len(s.proxies))].reset()
 	default:
 		proxy := s.proxies[s.rng.IntN(len(s.proxies))]
