Tell apart connections with the same port in tests of isolated VMs

A test of isolated entry VMs said that a VM of another region had sent three requests of a route that is bound to its region. The connections of two proxies to two targets had the same local port, and the later one replaced the VM of the first. Both ends identify a connection now.

--- a/cmd/flamingoreeld/paths_test.go
+++ b/cmd/flamingoreeld/paths_test.go
@@ -56,9 +56,9 @@
 	isolated  []string
 	listeners []*net.TCPListener
 	conns     map[*net.TCPConn]string
-	// senders maps the address from which a proxy connects to a target to the VM
-	// whose requests it forwards.
-	senders map[string]string
+	// senders maps the addresses of a proxy's connection to a target to the VM whose
+	// requests it forwards.
+	senders map[[2]string]string
 }
 
 // minPathCPUs is the number of CPUs that targetPaths needs.
@@ -82,7 +82,7 @@
 // newTargetPaths returns the intact paths of the VMs of a deployment.
 func newTargetPaths(t *testing.T, s *deployment) *targetPaths {
 	t.Helper()
-	p := &targetPaths{t: t, pids: make(map[string]int), conns: make(map[*net.TCPConn]string), senders: make(map[string]string)}
+	p := &targetPaths{t: t, pids: make(map[string]int), conns: make(map[*net.TCPConn]string), senders: make(map[[2]string]string)}
 	cpus := allowedCPUs(t)
 	if len(cpus) < minPathCPUs {
 		t.Skip("needs two CPUs to tell the connections of VMs apart")
@@ -275,14 +275,14 @@
 func (p *targetPaths) forward(name string, upstream net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.senders[upstream.LocalAddr().String()] = name
+	p.senders[[2]string{upstream.LocalAddr().String(), upstream.RemoteAddr().String()}] = name
 }
 
-// sender returns the VM whose request arrives at a target from an address.
-func (p *targetPaths) sender(addr string) string {
+// sender returns the VM whose request arrives at a target's address from another one.
+func (p *targetPaths) sender(from, target string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.senders[addr]
+	return p.senders[[2]string{from, target}]
 }
 
 func (p *targetPaths) closed(c *net.TCPConn) {
--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -215,7 +215,7 @@
 	p.mu.Lock()
 	p.executions[id]++
 	if p.paths != nil {
-		sender := p.paths.sender(r.RemoteAddr)
+		sender := p.paths.sender(r.RemoteAddr, p.listener.Addr().String())
 		p.senders[id] = append(p.senders[id], sender)
 		p.lastSent[sender] = time.Now()
 	}
