--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -220,16 +220,24 @@
 		p.lastSent[sender] = time.Now()
 	}
 	p.inProgress[id] = true
+	work := p.serviceTime
 	p.mu.Unlock()
 	if strings.HasSuffix(r.URL.Path, slowPath) {
 		<-r.Context().Done()
 	}
-	time.Sleep(p.serviceTime)
+	time.Sleep(work)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inProgress, id)
 }
 
+// setServiceTime changes how long the target runs a request.
+func (p *platformTarget) setServiceTime(work time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serviceTime = work
+}
+
 // held returns the key ranges that the target holds at now. The caller holds mu.
 func (p *platformTarget) held(now time.Time) [][2]int {
 	var rows [][2]int
