--- a/cmd/flamingoreeld/soak_test.go
+++ b/cmd/flamingoreeld/soak_test.go
@@ -21,7 +21,6 @@
 const (
 	// soakNetwork is the third octet of the VMs' addresses.
 	soakNetwork       = 10
-	soakEntries       = 3
 	soakTargets       = 3
 	soakCallers       = 8
 	soakDuration      = 6 * time.Second
@@ -83,6 +82,8 @@
 	rng     *rand.Rand
 	targets []*platformTarget
 	proxies []*faultyProxy
+	// paths breaks the paths of single entry VMs; nil if there are too few CPUs.
+	paths *targetPaths
 	// faults counts the faults that are not undone yet.
 	faults sync.WaitGroup
 
@@ -107,10 +108,14 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{deployment: newDeployment(t, soakNetwork, soakEntries), rng: rand.New(rand.NewPCG(seed, 11)), faulty: make(map[string]bool)}
+	s := &soak{deployment: newDeploymentIn(t, soakNetwork, soakPlaces), rng: rand.New(rand.NewPCG(seed, 11)), faulty: make(map[string]bool)}
+	if len(allowedCPUs(t)) >= minPathCPUs {
+		s.paths = newTargetPaths(t, s.deployment)
+	}
 	for _, service := range []string{"ledger", "reports"} {
 		for i := range soakTargets {
 			proxy := newProxy(t)
+			proxy.paths = s.paths
 			target := startPlatformTarget(t, &platformTarget{
 				id: fmt.Sprint(service, "-", i), service: service, zone: fmt.Sprint("z", i%2+1), sharded: service == "reports",
 				controls: s.controls, serviceTime: 20 * time.Millisecond, announcedAddr: proxy.listener.Addr().String(), proxy: proxy,
@@ -339,7 +344,7 @@
 // inject starts one random fault that ends by itself.
 func (s *soak) inject() {
 	duration := 300*time.Millisecond + time.Duration(s.rng.IntN(1200))*time.Millisecond
-	switch kind := s.rng.IntN(11); kind {
+	switch kind := s.rng.IntN(13); kind {
 	case 0, 1, 2:
 		// At most one of the three control VMs may be lost at a time.
 		s.faultProcess("control", s.rng.IntN(len(s.controls)), kind, duration)
@@ -354,6 +359,8 @@
 		end()
 	case 8:
 		s.changeSettings()
+	case 9, 10:
+		s.isolateEntries()
 	default:
 		proxy := s.proxies[s.rng.IntN(len(s.proxies))]
 		mode := proxyPaused + proxyMode(s.rng.IntN(3))
