Treat a relay reply without a status as a lost one

A reply of a peer that carries neither a refusal nor an error nor a final status was taken for the target's response: the status 0 was written to the caller, which ends its connection without an answer.

Such a reply now counts like one that cannot be decoded: the request may have run.

TestReplyWithoutStatusLeavesThePostUnknown failed before (a response with status 0, 7, 100 and 1000 instead of an unknown outcome).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -112,7 +112,7 @@
 		return nil, failure
 	}
 	reply := new(relayReply)
-	if err := wire.Unmarshal(data, reply); err != nil {
+	if err := wire.Unmarshal(data, reply); err != nil || !reply.valid() {
 		label = "malformed"
 		return nil, errkind.Wrap(errkind.LinkLost, err, "%s sent a malformed reply", addr)
 	}
--- a/internal/gateway/relay_messages.go
+++ b/internal/gateway/relay_messages.go
@@ -59,6 +59,14 @@
 	Target string `msgpack:"t,omitempty"`
 }
 
+// valid reports whether the reply is a refusal, an error or a final response.
+func (r *relayReply) valid() bool {
+	return r.Declined != "" || r.Kind != "" || r.Status >= http.StatusOK && r.Status <= maxStatus
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
 // outcome returns how the peer handled the request.
 func (r *relayReply) outcome() reach.Outcome {
 	switch {
