Offer a relayed request to another peer if one cannot serve it

Callers of an isolated entry VM got 404 for a service that the peer did not know yet: the isolated VM chooses the service by its own state, and the peer's may be older. They got 503 from a peer that reached the end of its grace time while other peers could serve.

In both cases the request did not run, so it now goes to the next peer, as after TargetUnreachable.

TestPeerThatCannotServeIsPassedOver failed before (unknown_service and stopping).

--- a/internal/gateway/relay_messages.go
+++ b/internal/gateway/relay_messages.go
@@ -72,7 +72,12 @@
 	switch {
 	case r.Declined != "" && r.Busy:
 		return reach.Busy
-	case r.Declined != "", r.Kind == errkind.TargetUnreachable:
+	case r.Declined != "":
+		return reach.Declined
+	}
+	switch r.Kind {
+	case errkind.TargetUnreachable, errkind.UnknownService, errkind.Stopping:
+		// The request did not run, and another peer may be able to serve it.
 		return reach.Declined
 	}
 	return reach.Relayed
