Count the transfer of a relayed request towards its deadline

A peer counted the remaining time of a relayed request from the moment at which it had the whole message. On a slow or busy link the target was told more time than the caller had left, by the time of the transfer, and worked on after the caller's deadline had passed.

The call now has the request's deadline, which the link sends when the message begins to leave and counts at the receiver from its first frame on. The peer uses the smaller of both. A call that reaches it is answered with a timeout and offered to no further peer.

TestTransferTimeShortensTheDeadlineOfARelayedRequest failed before (the target was told 3 s, the link left 1 s).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -65,7 +65,7 @@
 		a.peer, a.mayHaveRun = peer.Addr, true
 		a.attempts++
 		a.lostRelays++
-		if !a.mayRetry(ctx, failure) {
+		if failure.Kind == errkind.AnswerTimeout || !a.mayRetry(ctx, failure) {
 			return a.failureResult(failure), true
 		}
 	}
@@ -105,6 +105,8 @@
 		return nil, errkind.Wrap(errkind.LinkDown, err, "the request cannot be encoded")
 	}
 	g.links.SetPeer(addr, addr)
+	ctx, cancel := context.WithTimeout(ctx, a.deadline-g.now())
+	defer cancel()
 	data, err := g.links.Call(ctx, addr, methodRelay, payload)
 	if err != nil {
 		failure := errkind.From(err)
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -74,12 +74,17 @@
 // serveRelayed serves a relayed request and returns its final answer.
 func (g *Gateway) serveRelayed(ctx context.Context, m *relayRequest) *relayReply {
 	now := g.now()
+	left := m.Left
+	if deadline, ok := ctx.Deadline(); ok {
+		// The link's deadline takes into account how long the message was under way.
+		left = min(left, time.Until(deadline))
+	}
 	switch {
 	case g.stopping.declining.Load():
 		return &relayReply{Declined: "this VM is shutting down"}
 	case !g.Ready():
 		return &relayReply{Declined: "no configuration is known yet"}
-	case !m.Route.Kind.Known() || m.Left <= 0:
+	case !m.Route.Kind.Known() || left <= 0:
 		return &relayReply{Declined: "the request is invalid"}
 	case g.pathState() != reach.Direct:
 		return &relayReply{Declined: "this VM reaches no targets itself"}
@@ -96,10 +101,10 @@
 	defer func() { g.relayLimit.end(reserved) }()
 	a := &activeRequest{
 		g: g, route: &m.Route, name: m.RouteName, service: m.Service, relayed: true,
-		arrived: now - m.Elapsed, deadline: now + m.Left,
+		arrived: now + left - m.Left - m.Elapsed, deadline: now + left,
 		req: &Request{
 			ID: m.ID, Method: m.Method, URI: m.URI, Path: m.Path, Host: m.Host, RouteHost: m.RouteHost,
-			Caller: m.Caller, Header: m.Header, Body: m.Body, HasBody: m.HasBody, Key: m.Key, CallerTimeout: m.Left,
+			Caller: m.Caller, Header: m.Header, Body: m.Body, HasBody: m.HasBody, Key: m.Key, CallerTimeout: left,
 		},
 	}
 	a.fingerprint = a.req.fingerprint()
@@ -107,7 +112,7 @@
 		a.sharded = true
 	}
 	g.ensureRetryBudget(a.service)
-	ctx, cancel := context.WithTimeout(ctx, m.Left)
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	defer context.AfterFunc(g.stopping.serviceCtx, cancel)()
 	reply := a.relayReply(a.run(ctx), func(n int64) bool {
