Count all attempts granted to a lost peer

A peer may send an idempotent request to as many targets as its entry VM grants. If the link to it broke, the entry VM counted a single attempt and granted the rest to the next peer, so a request could run on more targets than max_attempts allows: with 2, on 3. The count was also dropped when the request went to a target directly after the path had returned.

All granted attempts now count, and an idempotent request keeps one for another peer. With max_attempts 2 a relayed request therefore has no hedge; it goes to one target by each of two peers at most.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -127,7 +127,7 @@
 	if e.Condition != fleet.Ready || view.DataCentreOut(e.DataCentre) || slices.Contains(a.tried, e.Incarnation) {
 		return false
 	}
-	if a.targetCount() >= a.route.MaxAttempts && !slices.Contains(a.retryableAt, e.Incarnation) {
+	if a.targetCount()+a.lostRelays >= a.route.MaxAttempts && !slices.Contains(a.retryableAt, e.Incarnation) {
 		return false
 	}
 	return len(a.route.AllowedRegions) == 0 || slices.Contains(a.route.AllowedRegions, a.g.cfg.Regions[e.DataCentre])
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -54,6 +54,7 @@
 			break
 		}
 		tried = append(tried, peer.Addr)
+		granted := a.relayAttempts()
 		reply, failure := a.callPeer(ctx, peer.Addr)
 		if failure == nil && reply.outcome() == reach.Relayed {
 			a.peer, a.lastTarget = peer.Addr, reply.Target
@@ -63,8 +64,8 @@
 			continue
 		}
 		a.peer, a.mayHaveRun = peer.Addr, true
-		a.attempts++
-		a.lostRelays++
+		a.attempts += granted
+		a.lostRelays += granted
 		if failure.Kind == errkind.AnswerTimeout || !a.mayRetry(ctx, failure) {
 			return a.failureResult(failure), true
 		}
@@ -137,11 +138,22 @@
 	return reach.Unreachable
 }
 
+// relayAttempts returns the number of targets to which a peer may send the request.
+// An idempotent request keeps one for another peer: if the first one is lost, it may
+// have sent the request to as many targets as it was allowed to.
+func (a *activeRequest) relayAttempts() int {
+	left := a.route.MaxAttempts - a.targetCount() - a.lostRelays
+	if a.route.Kind.Idempotent() {
+		left--
+	}
+	return max(1, left)
+}
+
 // relayMessage returns the request for a peer.
 func (a *activeRequest) relayMessage() *relayRequest {
 	now := a.g.now()
 	route := *a.route
-	route.MaxAttempts = max(1, route.MaxAttempts-a.targetCount()-a.lostRelays)
+	route.MaxAttempts = a.relayAttempts()
 	return &relayRequest{
 		ID: a.req.ID, Method: a.req.Method, URI: a.req.URI, Path: a.req.Path, Host: a.req.Host, RouteHost: a.req.RouteHost,
 		Caller: a.req.Caller, Header: a.req.Header, Body: a.req.Body, HasBody: a.req.HasBody, Key: a.req.Key,
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -51,7 +51,7 @@
 		return
 	}
 	a.tried = slices.DeleteFunc(a.tried, func(in fleet.Incarnation) bool { return slices.Contains(a.retryableAt, in) })
-	a.attempts = len(a.tried)
+	a.attempts = len(a.tried) + a.lostRelays
 	a.g.mu.Lock()
 	changed := a.g.changed
 	a.g.mu.Unlock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -80,8 +80,8 @@
 	// entry VM that relayed it for this one.
 	relayed bool
 	peer    string
-	// lostRelays counts the relayed attempts of which it is not known whether a
-	// target ran the request.
+	// lostRelays counts the attempts granted to peers of which it is not known
+	// whether a target ran the request.
 	lostRelays int
 }
 
