Check the path with targets that are not known to be down

A check of the path left out targets lost within the last 2 s only. A target that had crashed earlier and was still waiting for a successful health check was tried like any other. With many crashed targets a check could try only such targets: all refused, and the entry VM counted as isolated although it served requests. The way back needs half of the tried targets, so it stayed isolated.

Targets that wait for a successful health check are now tried last, like those that were lost lately.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -87,7 +87,9 @@
 	defer g.mu.Unlock()
 	var targets []reach.Target
 	for _, e := range view.AllEndpoints() {
-		targets = append(targets, reach.Target{Addr: e.Address, DataCentre: e.DataCentre, Lost: g.path.IsLost(now, e.Address)})
+		state := g.targetStates[e.Incarnation]
+		lost := g.path.IsLost(now, e.Address) || state != nil && state.recovering
+		targets = append(targets, reach.Target{Addr: e.Address, DataCentre: e.DataCentre, Lost: lost})
 	}
 	return reach.Sample(g.rng, g.cfg.DataCentre, targets, n)
 }
--- a/internal/reach/sample.go
+++ b/internal/reach/sample.go
@@ -8,8 +8,8 @@
 // Target is a target that a check may try to connect to.
 type Target struct {
 	Addr, DataCentre string
-	// Lost reports that the target was lost lately. It is tried only if there are
-	// no others.
+	// Lost reports that the target was lost lately or is known to be down. It is
+	// tried only if there are no others.
 	Lost bool
 }
 
