Return to targets if few are reached and no peer relays

The way back to targets needed a check in which at least half of the tried ones accepted a connection. After the loss of all or most targets, every entry VM is isolated and declines the requests of the others. Until half of the targets were up again, all requests were refused although some targets could serve.

One target that is reached now suffices while peers relay no requests.

TestEntryWithoutPeersUsesTheFewTargetsThatItReaches fails without the condition.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -59,6 +59,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	result.NoPeer = g.peers.Failing(now)
 	lost := g.path.LostTargets(now)
 	outcome := "reached"
 	if result.Reached == 0 {
--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -69,7 +69,7 @@
 // Invariant: the state becomes Isolated only after a check in which no target
 // accepted a connection and either all refused it or none has responded lately
 // either, and leaves Isolated only after a check in which at least half of the
-// targets accepted one. Lost targets alone never change it, because they may have
+// targets accepted one, or one did and no peer relays. Lost targets alone never change it, because they may have
 // crashed; nor do timeouts while responses arrive, because the VM's own link may be
 // congested.
 type Path struct {
@@ -167,14 +167,18 @@
 
 // Result is the result of a check: how many targets were tried, and how many of
 // them accepted or refused a connection. The others did not react.
-type Result struct{ Tried, Reached, Refused int }
+type Result struct {
+	Tried, Reached, Refused int
+	// NoPeer reports that peers have lately relayed no request.
+	NoPeer bool
+}
 
 // Checked records the result of a check. It returns whether the state changed.
 func (p *Path) Checked(now time.Duration, r Result) bool {
 	p.checking = false
 	before := p.state
 	switch {
-	case p.state == Isolated && r.Tried > 0 && 2*r.Reached >= r.Tried:
+	case p.state == Isolated && r.Reached > 0 && (2*r.Reached >= r.Tried || r.NoPeer):
 		p.enter(Returning, now)
 	case p.state != Isolated && p.isolatedBy(now, r):
 		p.enter(Isolated, now)
