Keep overloaded targets from isolating an entry VM

Targets with too many connections reset new ones. Such a reset counted as a refusal in a check of the path: if all six tried targets reset, the entry VM became isolated although it served requests, and moved its load to its peers. With a share p of full targets that happens in p^6 of the checks, 12 % at 0.7, each second.

The pool now records when a target last accepted a connection without resetting it. Within 500 ms of that a check doesn't isolate. While the path is broken no target accepts any, so the decision is later by at most that and one interval of checks.

The share is computed, not measured.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -22,6 +22,9 @@
 	pathCheckTargets = 6
 	// pathCheckTimeout bounds a check: a round trip between regions takes 16 ms.
 	pathCheckTimeout = 400 * time.Millisecond
+	// acceptedWindow is how long after a target has accepted a connection targets that
+	// refuse or reset connections count as overloaded or crashed.
+	acceptedWindow = 500 * time.Millisecond
 	// pathPollInterval is the interval at which an entry VM that is not in the state
 	// Direct decides whether a check is due.
 	pathPollInterval = 250 * time.Millisecond
@@ -59,6 +62,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	result.Accepted = g.pool.AcceptedWithin(acceptedWindow)
 	result.NoPeer = g.peers.Failing(now)
 	lost := g.path.LostTargets(now)
 	outcome := "reached"
--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -67,11 +67,11 @@
 // Path tracks whether an entry VM reaches targets by its own connections.
 //
 // Invariant: the state becomes Isolated only after a check in which no target
-// accepted a connection and either all refused it or none has responded lately
-// either, and leaves Isolated only after a check in which at least half of the
-// targets accepted one, or one did and no peer relays. Lost targets alone never change it, because they may have
-// crashed; nor do timeouts while responses arrive, because the VM's own link may be
-// congested.
+// accepted a connection, nor shortly before, and either all refused it or none has
+// responded lately either. It leaves Isolated only after a check in which at least
+// half of the targets accepted one, or one did and no peer relays. Lost targets alone
+// never change it, because they may have crashed; nor do timeouts while responses
+// arrive, because the VM's own link may be congested.
 type Path struct {
 	state   State
 	since   time.Duration
@@ -169,6 +169,8 @@
 // them accepted or refused a connection. The others did not react.
 type Result struct {
 	Tried, Reached, Refused int
+	// Accepted reports that a target has accepted another connection shortly before.
+	Accepted bool
 	// NoPeer reports that peers have lately relayed no request.
 	NoPeer bool
 }
@@ -191,7 +193,7 @@
 }
 
 func (p *Path) isolatedBy(now time.Duration, r Result) bool {
-	if r.Tried == 0 || r.Reached > 0 {
+	if r.Tried == 0 || r.Reached > 0 || r.Accepted {
 		return false
 	}
 	return r.Refused == r.Tried || p.AnsweredTargets(now) == 0
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -81,8 +81,10 @@
 	// idle holds the idle connections by address, the last used one at the end.
 	idle map[string][]*conn
 	// dials counts the connections that were established.
-	dials  uint64
-	dialer net.Dialer
+	dials uint64
+	// acceptedAt is when a target last accepted a connection without resetting it.
+	acceptedAt time.Time
+	dialer     net.Dialer
 }
 
 // NewPool returns an empty pool.
@@ -194,9 +196,20 @@
 		_ = nc.Close()
 		return nil, ErrResetBeforeRequest
 	}
+	p.mu.Lock()
+	p.acceptedAt = time.Now()
+	p.mu.Unlock()
 	return c, nil
 }
 
+// AcceptedWithin reports whether a target has accepted a connection within the last
+// d.
+func (p *Pool) AcceptedWithin(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.acceptedAt) < d
+}
+
 // popIdle removes and returns the most recently used idle connection that was
 // not used for the ID; nil if there is none.
 func (p *Pool) popIdle(addr, id string) *conn {
