Judge no peer by requests whose callers left

A call that ended because its caller had left, or because its time was over, was taken for a sign of the peer: as not reached if the link was still being dialed, so that the peer got no requests for half a second or more, otherwise as handled, so that the VM stayed ready although no peer relayed anything.

Such a request now changes nothing but the number in progress.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -112,6 +112,9 @@
 	if err != nil {
 		failure := errkind.From(err)
 		outcome, label = outcomeOf(failure), string(failure.Kind)
+		if ctx.Err() != nil {
+			outcome = reach.Abandoned
+		}
 		return nil, failure
 	}
 	reply := new(relayReply)
@@ -133,7 +136,7 @@
 	case errkind.BadRequest:
 		return reach.Declined
 	case errkind.AnswerTimeout, errkind.QueueTimeout:
-		return reach.Relayed
+		return reach.Abandoned
 	}
 	return reach.Unreachable
 }
--- a/internal/reach/peers.go
+++ b/internal/reach/peers.go
@@ -53,6 +53,9 @@
 	Declined
 	// Unreachable means that there was no response from the peer.
 	Unreachable
+	// Abandoned means that the request ended before the peer could respond, which
+	// says nothing about the peer.
+	Abandoned
 )
 
 // peerState is what an entry VM knows about a peer.
@@ -191,6 +194,8 @@
 	s.inFlight--
 	s.lastUsed = now
 	switch outcome {
+	case Abandoned:
+		return
 	case Relayed:
 		s.refusals, s.busy, s.restUntil = 0, 0, 0
 		s.window = min(s.window+windowStep, maxWindow)
