Ignore a check of the path that a freeze interrupted

If a VM was frozen while it checked its path, all connections of the check timed out at the thaw and no target had responded within the last second, so the VM became isolated and relayed its requests for 2.5 s or more.

A check that took much longer than its time limit now decides nothing; the next one does.

TestCheckThatWasInterruptedDoesNotIsolate failed before.

--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -42,6 +42,9 @@
 	// recheckInterval is the time between two checks while targets are lost but
 	// others are reached.
 	recheckInterval = time.Second
+	// maxCheckTime is the duration from which a check that reached nothing counts as
+	// interrupted: the VM was frozen, so that its connections timed out at once.
+	maxCheckTime = 1200 * time.Millisecond
 	// isolatedCheckInterval is the time between two checks while isolated.
 	isolatedCheckInterval = 500 * time.Millisecond
 	// returnTime is the time from the first successful check to the state Direct.
@@ -80,6 +83,8 @@
 	// one is running.
 	nextCheck time.Duration
 	checking  bool
+	// checkBegan is when the last check began.
+	checkBegan time.Duration
 }
 
 // NewPath returns a Path in the state Direct.
@@ -161,7 +166,7 @@
 	if p.checking || now < p.nextCheck || p.state != Isolated && !p.suspect(now) {
 		return false
 	}
-	p.checking = true
+	p.checking, p.checkBegan = true, now
 	return true
 }
 
@@ -193,7 +198,7 @@
 }
 
 func (p *Path) isolatedBy(now time.Duration, r Result) bool {
-	if r.Tried == 0 || r.Reached > 0 || r.Accepted {
+	if r.Tried == 0 || r.Reached > 0 || r.Accepted || now-p.checkBegan > maxCheckTime {
 		return false
 	}
 	return r.Refused == r.Tried || p.AnsweredTargets(now) == 0
