Close links as unused only if no call is in flight

An entry VM that closes the link to an unused peer decides on that before the link is closed. A request that chose the peer in between was cut: its caller got 502 although the peer was sound. A link that was being dialed at that moment came up afterwards and stayed open for good, with its pings, since the peer was already forgotten.

A link with calls in flight now stays, and one that comes up after it was disconnected is closed.

TestDisconnectSparesCallsInFlight and TestDisconnectEndsADial failed before (link_lost, phase up).

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -79,9 +79,14 @@
 
 // closeWithError closes the connection and ends its calls and streams. Only the
 // first call has an effect.
-func (c *conn) closeWithError(err error) {
+func (c *conn) closeWithError(err error) { c.close(err, false) }
+
+// closeIfUnused closes the connection unless calls are in flight.
+func (c *conn) closeIfUnused(err error) { c.close(err, true) }
+
+func (c *conn) close(err error, ifUnused bool) {
 	c.mu.Lock()
-	if c.err != nil {
+	if c.err != nil || ifUnused && c.inFlight > 0 {
 		c.mu.Unlock()
 		return
 	}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// Disconnect closes the link that this node dialed to a peer. The next Call or
-// Send dials it again. Calls in flight fail.
+// Disconnect closes the link that this node dialed to a peer, unless calls are in
+// flight. The next Call or Send dials it again.
 func (n *Node) Disconnect(name string) {
 	if p := n.lookup(name); p != nil {
 		p.disconnect()
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -125,17 +125,25 @@
 	p.changed = make(chan struct{})
 }
 
-// disconnect closes the dialed connection and leaves the link idle.
+// disconnect closes the dialed connection, unless calls are in flight, and leaves
+// the link idle. A connection that is being dialed is closed once it is up.
 func (p *peer) disconnect() {
 	p.mu.Lock()
 	p.disconnecting = true
 	c := p.conn
 	p.mu.Unlock()
 	if c != nil {
-		c.closeWithError(errIdle)
+		c.closeIfUnused(errIdle)
 	}
 }
 
+// disconnected reports whether disconnect was called since the last Call or Send.
+func (p *peer) disconnected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.disconnecting
+}
+
 // becomeIdle makes the link idle if disconnect was called since the last Call or
 // Send.
 func (p *peer) becomeIdle() bool {
@@ -190,6 +198,9 @@
 	began := time.Now()
 	p.counters[Control].connects.Add(1)
 	p.setPhase(phaseUp, c, nil)
+	if p.disconnected() {
+		c.closeIfUnused(errIdle)
+	}
 	p.node.log.WithField("peer", p.name).Info("link established")
 	p.run(c, r)
 	return max(time.Since(began), 1), c.err
