--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -22,6 +22,9 @@
 	pathCheckTargets = 6
 	// pathCheckTimeout bounds a check: a round trip between regions takes 16 ms.
 	pathCheckTimeout = 400 * time.Millisecond
+	// acceptedWindow is how long after a target has accepted a connection targets that
+	// refuse or reset connections count as overloaded or crashed.
+	acceptedWindow = 500 * time.Millisecond
 	// pathPollInterval is the interval at which an entry VM that is not in the state
 	// Direct decides whether a check is due.
 	pathPollInterval = 250 * time.Millisecond
@@ -59,6 +62,8 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	result.Accepted = g.pool.AcceptedWithin(acceptedWindow)
+	result.NoPeer = g.peers.Failing(now)
 	lost := g.path.LostTargets(now)
 	outcome := "reached"
 	if result.Reached == 0 {
@@ -87,7 +92,9 @@
 	defer g.mu.Unlock()
 	var targets []reach.Target
 	for _, e := range view.AllEndpoints() {
-		targets = append(targets, reach.Target{Addr: e.Address, DataCentre: e.DataCentre, Lost: g.path.IsLost(now, e.Address)})
+		state := g.targetStates[e.Incarnation]
+		lost := g.path.IsLost(now, e.Address) || state != nil && state.recovering
+		targets = append(targets, reach.Target{Addr: e.Address, DataCentre: e.DataCentre, Lost: lost})
 	}
 	return reach.Sample(g.rng, g.cfg.DataCentre, targets, n)
 }
--- a/internal/gateway/relay_messages.go
+++ b/internal/gateway/relay_messages.go
@@ -59,12 +59,25 @@
 	Target string `msgpack:"t,omitempty"`
 }
 
+// valid reports whether the reply is a refusal, an error or a final response.
+func (r *relayReply) valid() bool {
+	return r.Declined != "" || r.Kind != "" || r.Status >= http.StatusOK && r.Status <= maxStatus
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
 // outcome returns how the peer handled the request.
 func (r *relayReply) outcome() reach.Outcome {
 	switch {
 	case r.Declined != "" && r.Busy:
 		return reach.Busy
-	case r.Declined != "", r.Kind == errkind.TargetUnreachable:
+	case r.Declined != "":
+		return reach.Declined
+	}
+	switch r.Kind {
+	case errkind.TargetUnreachable, errkind.UnknownService, errkind.Stopping:
+		// The request did not run, and another peer may be able to serve it.
 		return reach.Declined
 	}
 	return reach.Relayed
--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -42,6 +42,9 @@
 	// recheckInterval is the time between two checks while targets are lost but
 	// others are reached.
 	recheckInterval = time.Second
+	// maxCheckTime is the duration from which a check that reached nothing counts as
+	// interrupted: the VM was frozen, so that its connections timed out at once.
+	maxCheckTime = 1200 * time.Millisecond
 	// isolatedCheckInterval is the time between two checks while isolated.
 	isolatedCheckInterval = 500 * time.Millisecond
 	// returnTime is the time from the first successful check to the state Direct.
@@ -67,11 +70,11 @@
 // Path tracks whether an entry VM reaches targets by its own connections.
 //
 // Invariant: the state becomes Isolated only after a check in which no target
-// accepted a connection and either all refused it or none has responded lately
-// either, and leaves Isolated only after a check in which at least half of the
-// targets accepted one. Lost targets alone never change it, because they may have
-// crashed; nor do timeouts while responses arrive, because the VM's own link may be
-// congested.
+// accepted a connection, nor shortly before, and either all refused it or none has
+// responded lately either. It leaves Isolated only after a check in which at least
+// half of the targets accepted one, or one did and no peer relays. Lost targets alone
+// never change it, because they may have crashed; nor do timeouts while responses
+// arrive, because the VM's own link may be congested.
 type Path struct {
 	state   State
 	since   time.Duration
@@ -80,6 +83,8 @@
 	// one is running.
 	nextCheck time.Duration
 	checking  bool
+	// checkBegan is when the last check began.
+	checkBegan time.Duration
 }
 
 // NewPath returns a Path in the state Direct.
@@ -161,20 +166,26 @@
 	if p.checking || now < p.nextCheck || p.state != Isolated && !p.suspect(now) {
 		return false
 	}
-	p.checking = true
+	p.checking, p.checkBegan = true, now
 	return true
 }
 
 // Result is the result of a check: how many targets were tried, and how many of
 // them accepted or refused a connection. The others did not react.
-type Result struct{ Tried, Reached, Refused int }
+type Result struct {
+	Tried, Reached, Refused int
+	// Accepted reports that a target has accepted another connection shortly before.
+	Accepted bool
+	// NoPeer reports that peers have lately relayed no request.
+	NoPeer bool
+}
 
 // Checked records the result of a check. It returns whether the state changed.
 func (p *Path) Checked(now time.Duration, r Result) bool {
 	p.checking = false
 	before := p.state
 	switch {
-	case p.state == Isolated && r.Tried > 0 && 2*r.Reached >= r.Tried:
+	case p.state == Isolated && r.Reached > 0 && (2*r.Reached >= r.Tried || r.NoPeer):
 		p.enter(Returning, now)
 	case p.state != Isolated && p.isolatedBy(now, r):
 		p.enter(Isolated, now)
@@ -187,7 +198,7 @@
 }
 
 func (p *Path) isolatedBy(now time.Duration, r Result) bool {
-	if r.Tried == 0 || r.Reached > 0 {
+	if r.Tried == 0 || r.Reached > 0 || r.Accepted || now-p.checkBegan > maxCheckTime {
 		return false
 	}
 	return r.Refused == r.Tried || p.AnsweredTargets(now) == 0
