Take neither busy control VMs nor other runs for a fault in tests

Under load two tests of processes failed for reasons of their own. Malformed messages: the log line 'control goroutine was busy' matched the search for a crash dump, which now looks for the head of a goroutine, 'goroutine N ['. Fault soak: an entry VM could not listen on 127.0.10.11:9464, because another run on the same machine used the same addresses (bind: address already in use); the address now contains the process ID of the run. Neither check is relaxed.

--- a/cmd/flamingoreeld/malformed_test.go
+++ b/cmd/flamingoreeld/malformed_test.go
@@ -7,6 +7,8 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -28,8 +30,13 @@
 	// malformedRounds is how often each message is sent, each time with other
 	// random changes.
 	malformedRounds = 60
+	// strangerAddr is the address of a VM that does not exist.
+	strangerAddr = "127.0.12.98:9"
 )
 
+// goroutineDump matches the head of a goroutine in the dump of a process that crashed.
+var goroutineDump = regexp.MustCompile(`goroutine \d+ \[`)
+
 // Guards against a malformed message that crashes a process; covers every listener
 // of both roles.
 func TestMalformedMessagesDoNotCrashProcesses(t *testing.T) {
@@ -48,11 +55,11 @@
 		if err := cmd.Process.Signal(syscall.Signal(0)); err != nil {
 			t.Errorf("%s has ended: %v", name, err)
 		}
-		if data := s.log(name); strings.Contains(data, "panic") || strings.Contains(data, "goroutine ") {
+		if data := s.log(name); strings.Contains(data, "panic") || goroutineDump.MatchString(data) {
 			t.Errorf("%s panicked", name)
 		}
 		for line := range strings.Lines(s.log(name)) {
-			if strings.Contains(line, "membership changed") && (strings.Contains(line, "127.0.12.98") || strings.Contains(line, `learners=,`) || strings.Contains(line, `voters=,`)) {
+			if strings.Contains(line, "membership changed") && (strings.Contains(line, strangerAddr) || strings.Contains(line, `learners=,`) || strings.Contains(line, `voters=,`)) {
 				t.Errorf("%s added a member that did not introduce itself: %s", name, line)
 			}
 		}
@@ -131,7 +138,7 @@
 // values that no VM sends.
 func (s *deployment) sendFrames(t *testing.T, rng *rand.Rand) {
 	port := freePort(t)
-	self := fmt.Sprintf("127.0.%d.99:%d", malformedNetwork, port)
+	self := net.JoinHostPort(loopbackIP(malformedNetwork, 99), strconv.Itoa(port))
 	node, err := link.Listen(watch.LinkConfig(self, 1, &log.Logger{Handler: discard.New()}))
 	if err != nil {
 		t.Fatal(err)
@@ -149,7 +156,7 @@
 			Target: fleet.Target{Incarnation: outOfRange, Service: "reports", Address: "", Slots: math.MinInt, Condition: fleet.Ready, ColdFor: math.MinInt64},
 			Seq:    math.MaxInt64, Held: []registry.Range{{From: -9, To: 1 << 40}}, Released: []registry.Released{{From: 1 << 40, To: -1}},
 		}}},
-		"hello":             {map[string]any{"w": 1}, map[string]any{}, map[string]any{"p": watch.Peer{Addr: "127.0.12.98:9"}, "r": "stranger"}},
+		"hello":             {map[string]any{"w": 1}, map[string]any{}, map[string]any{"p": watch.Peer{Addr: strangerAddr}, "r": "stranger"}},
 		watch.MethodReplica: {map[string]any{"t": 255}, []int{1, 2, 3}},
 	}
 	for i, addr := range s.links {
--- a/cmd/flamingoreeld/platform_test.go
+++ b/cmd/flamingoreeld/platform_test.go
@@ -102,6 +102,12 @@
 // firstPlace is where the control VMs are.
 var firstPlace = place{"z1", "r1"}
 
+// loopbackIP returns an address that no test of another run on this machine uses: the
+// port of the metrics is fixed.
+func loopbackIP(network, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, network, host)
+}
+
 // freePort returns a port that was free when it was chosen.
 func freePort(t *testing.T) int {
 	t.Helper()
@@ -141,23 +147,23 @@
 }
 
 // newDeploymentIn starts three control VMs, and an entry VM at each place. Each VM has
-// its own address in 127.0.network.0/24, so that all can use the same ports.
+// its own address in the network of that number, so that all can use the same ports.
 func newDeploymentIn(t *testing.T, network int, places []place) *deployment {
 	s := &deployment{t: t, dir: t.TempDir(), procs: make(map[string]*exec.Cmd), zones: zoneTable(places)}
 	ports := freePorts(t, 4)
 	linkPort, controlPort, callerPort, readyPort := ports[0], ports[1], ports[2], ports[3]
 	var seeds []string
 	for i := range 3 {
-		addr := net.JoinHostPort(fmt.Sprintf("127.0.%d.%d", network, i+1), strconv.Itoa(controlPort))
+		addr := net.JoinHostPort(loopbackIP(network, i+1), strconv.Itoa(controlPort))
 		s.controls = append(s.controls, addr)
 		seeds = append(seeds, strconv.Quote(addr))
 	}
 	s.seeds = strings.Join(seeds, ", ")
 	for i, addr := range s.controls {
-		s.start(fmt.Sprintf("control-%d", i), fmt.Sprintf("127.0.%d.%d", network, i+1), linkPort, firstPlace, fmt.Sprintf("control: %q", addr))
+		s.start(fmt.Sprintf("control-%d", i), loopbackIP(network, i+1), linkPort, firstPlace, fmt.Sprintf("control: %q", addr))
 	}
 	for i, place := range places {
-		ip := fmt.Sprintf("127.0.%d.%d", network, 11+i)
+		ip := loopbackIP(network, 11+i)
 		s.entries = append(s.entries, net.JoinHostPort(ip, strconv.Itoa(callerPort)))
 		s.ready = append(s.ready, net.JoinHostPort(ip, strconv.Itoa(readyPort)))
 		s.start(fmt.Sprintf("entry-%d", i), ip, linkPort, place, fmt.Sprintf("front: %q, ready_addr: %q", s.entries[i], s.ready[i]))
--- a/cmd/flamingoreeld/signals_test.go
+++ b/cmd/flamingoreeld/signals_test.go
@@ -82,9 +82,10 @@
 // settingsOfLoneEntry returns the settings of an entry VM that reaches no control VM.
 func settingsOfLoneEntry(t *testing.T) string {
 	ports := freePorts(t, 3)
-	ip := fmt.Sprintf("127.0.%d.21", signalsNetwork)
+	ip := loopbackIP(signalsNetwork, 21)
 	listen := fmt.Sprintf("front: %q, ready_addr: %q", net.JoinHostPort(ip, strconv.Itoa(ports[0])), net.JoinHostPort(ip, strconv.Itoa(ports[1])))
-	return fmt.Sprintf(settingsTemplate, "entry-0", ip, true, t.TempDir(), listen, ports[2], ports[2]+8, strconv.Quote(ip+":9"))
+	return fmt.Sprintf(settingsTemplate, "entry-0", ip, true, t.TempDir(), listen, ports[2], ports[2]+8, strconv.Quote(ip+":9"),
+		firstPlace.dataCentre, firstPlace.region, zoneTable(nil))
 }
 
 // writeSettings writes a settings file and returns its path.
@@ -149,7 +150,7 @@
 func TestHangupDoesNotEndTheDaemon(t *testing.T) {
 	var addrs []string
 	for _, port := range freePorts(t, 3) {
-		addrs = append(addrs, fmt.Sprintf("127.0.%d.31:%d", signalsNetwork, port))
+		addrs = append(addrs, net.JoinHostPort(loopbackIP(signalsNetwork, 31), strconv.Itoa(port)))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
