--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -6,9 +6,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +19,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/controller"
 	"github.com/flamingoreel/flamingoreel/internal/gateway"
 	"github.com/flamingoreel/flamingoreel/internal/logs"
+	"github.com/flamingoreel/flamingoreel/internal/signals"
 	"github.com/flamingoreel/flamingoreel/platform"
 )
 
@@ -53,9 +53,6 @@
 	// responseTimeout bounds the time from reading a request's headers to the end of
 	// its response. Callers wait for 12 s at most.
 	responseTimeout = 2 * time.Minute
-	// settingsPollInterval is the interval at which the settings file is checked for
-	// a change, which may come without a signal.
-	settingsPollInterval = time.Second
 	// softMemoryFraction is the fraction of the memory limit that the Go runtime gets
 	// as its soft limit: the garbage collector runs more often as memory use nears it.
 	softMemoryFraction = 0.6
@@ -66,7 +63,7 @@
 
 // roleCommands returns the commands that run one role of a deployment on the
 // users' platform.
-func roleCommands() []*cli.Command {
+func roleCommands(received *signals.Handler) []*cli.Command {
 	role := func(name, usage string, run func(context.Context, *process) error) *cli.Command {
 		return &cli.Command{
 			Name: name, Usage: usage,
@@ -74,13 +71,13 @@
 				&cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
 				stringFlag("log-level", "info", "debug, info, warn or error"),
 			},
-			Action: func(ctx context.Context, c *cli.Command) error {
+			Action: func(_ context.Context, c *cli.Command) error {
 				p, err := newProcess(c)
 				if err != nil {
 					return cli.Exit(err, exitSettings)
 				}
 				defer p.logs.Close()
-				return asRunError(p.run(ctx, run))
+				return asRunError(p.run(received, run))
 			},
 		}
 	}
@@ -94,15 +91,20 @@
 type process struct {
 	path     string
 	settings platform.Settings
+	// modified is when the file of the settings was last modified before it was read.
+	modified time.Time
 	logs     *logs.Handler
 	logger   *log.Logger
 	registry *prometheus.Registry
 	// serverErrors receives the errors of servers that failed.
 	serverErrors chan error
+	// reloads receives requests to reload the settings.
+	reloads chan struct{}
 }
 
 func newProcess(c *cli.Command) (*process, error) {
 	path := c.String("settings")
+	modified := modifiedAt(path)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return nil, err
@@ -113,8 +115,9 @@
 	}
 	handler := logs.New(os.Stdout)
 	p := &process{
-		path: path, settings: settings, logs: handler,
+		path: path, settings: settings, modified: modified, logs: handler,
 		logger: &log.Logger{Handler: handler, Level: level}, registry: prometheus.NewRegistry(), serverErrors: make(chan error, 4),
+		reloads: make(chan struct{}, 1),
 	}
 	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "flamingoreel_log_lines_dropped_total", Help: "Log lines dropped to stay within the permitted volume.",
@@ -126,19 +129,20 @@
 }
 
 // run runs a role until SIGINT or SIGTERM. The role closes what it opened.
-func (p *process) run(ctx context.Context, role func(context.Context, *process) error) error {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func (p *process) run(received *signals.Handler, role func(context.Context, *process) error) error {
+	received.Handle(p.logger, p.reloads)
 	s := p.settings
 	p.logger.WithFields(log.Fields{
 		"vm": s.Name, "region": s.Region, "data_centre": s.DataCentre, "link": s.LinkAddr,
-		"seeds": s.Seeds, "bootstrap": s.Bootstrap, "tolerated": s.ToleratedLosses,
+		"seeds": strings.Join(s.Seeds, ","), "bootstrap": s.Bootstrap, "tolerated": s.ToleratedLosses,
 	}).Info("started")
-	err := role(ctx, p)
+	err := role(received.Context(), p)
+	reason := "signal"
 	if err != nil {
 		p.logger.WithError(err).Error("role failed")
+		reason = "failure"
 	}
-	p.logger.WithField("vm", s.Name).Info("stopped")
+	p.logger.WithFields(log.Fields{"vm": s.Name, "reason": reason}).Info("stopped")
 	return err
 }
 
@@ -186,49 +190,13 @@
 // wait returns when the process is asked to stop or a server failed. Until then
 // it reloads the settings on SIGHUP and when their file changes.
 func (p *process) wait(ctx context.Context, addSeeds func([]string)) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	poll := time.NewTicker(settingsPollInterval)
-	defer poll.Stop()
-	modified := p.modified()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case err := <-p.serverErrors:
-			return err
-		case <-hangup:
-			p.reload(addSeeds)
-		case <-poll.C:
-			if at := p.modified(); !at.Equal(modified) {
-				modified = at
-				p.reload(addSeeds)
-			}
-		}
-	}
-}
-
-// modified returns the modification time of the settings file, or the zero time
-// if it cannot be read.
-func (p *process) modified() time.Time {
-	info, err := os.Stat(p.path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
-// reload adds the seeds of changed settings. Other settings take effect at the
-// next start.
-func (p *process) reload(addSeeds func([]string)) {
-	s, err := platform.ReadSettings(p.path)
-	if err != nil {
-		p.logger.WithError(err).Warn("changed settings ignored")
-		return
+	go p.watchSettings(ctx, addSeeds)
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-p.serverErrors:
+		return err
 	}
-	addSeeds(s.Seeds)
-	p.logger.WithField("seeds", s.Seeds).Info("settings reloaded")
 }
 
 func runEntry(ctx context.Context, p *process) error {
@@ -266,6 +234,7 @@
 	p.logger.Info("draining")
 	ingress.Stopping.Store(true)
 	g.DeclineRelayed()
+	g.FinishWithin(s.Grace - stopMargin - responseMargin)
 	time.Sleep(min(handoffTime, s.Grace/2))
 	return drainCallers(g, server, ingress.Connections, s.Grace-min(handoffTime, s.Grace/2)-stopMargin)
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -29,7 +29,7 @@
 
 // newRelayBed starts an entry VM in region r that reaches none of the targets, and
 // one peer in each of the given regions.
-func newRelayBed(t *testing.T, regions []string, targets ...*testTarget) *relayBed {
+func newRelayBed(t testing.TB, regions []string, targets ...*testTarget) *relayBed {
 	t.Helper()
 	entries := []fleet.Entry{{Addr: freeAddr(t), Region: "r", DataCentre: "d"}}
 	for i, region := range regions {
@@ -44,7 +44,7 @@
 }
 
 // newRelayEntry starts the entry VM with the given index in entries.
-func newRelayEntry(t *testing.T, entries []fleet.Entry, index int, targets []*testTarget) *testbed {
+func newRelayEntry(t testing.TB, entries []fleet.Entry, index int, targets []*testTarget) *testbed {
 	t.Helper()
 	self := entries[index]
 	g, err := New(Config{
@@ -344,3 +344,17 @@
 		t.Error("links to unused peers stay open")
 	}
 }
+
+// Guards against a request that a stopping, isolated entry VM relays although it would
+// outlast the stop.
+func TestStoppingEntryRelaysNothingThatOutlastsIt(t *testing.T) {
+	target := newTarget(t, signed)
+	bed := newRelayBed(t, []string{"r"}, target)
+	bed.isolateNow()
+	bed.g.FinishWithin(100 * time.Millisecond)
+	r := bed.serve("/post/x", "1")
+	wantKind(t, r, errkind.Stopping)
+	if r.RetryAfter <= 0 || target.count() != 0 {
+		t.Errorf("the target got %d requests; Retry-After %v", target.count(), r.RetryAfter)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,8 +18,8 @@
 const (
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
-	// maxRecentIDs is the number of request IDs that a connection remembers.
-	// Retries follow within seconds, in which a connection sends fewer requests.
+	// maxRecentIDs is the number of request IDs that a connection remembers, for
+	// callers that reuse an ID. UsedConns covers the retries of one request.
 	maxRecentIDs = 32
 )
 
@@ -28,10 +28,15 @@
 	nc      net.Conn
 	bounded *boundedReader
 	r       *bufio.Reader
+	// written receives the result of the write of a long body; nil if the write
+	// ended before the response was read.
+	written chan error
 	// completed counts the complete responses.
 	completed int
 	// usableUntil is the time after which the idle connection is no longer used.
 	usableUntil time.Time
+	// unlimited reports that TCP_USER_TIMEOUT is not set.
+	unlimited bool
 	// recentIDs holds the IDs of the last requests, oldest first.
 	recentIDs []string
 }
