Don't block a target because an attempt ended during the dial

An attempt that was cancelled while its connection was being established, for example because a hedge had answered first or the caller had left, counted as TargetUnreachable: the target got no requests until it had passed a health check, 300 ms later at the earliest. A peer that served a relayed request whose time ended then also counted the target as out of reach, since that context ends with its deadline.

Within 100 ms of the dial such an end now says nothing about the target. Later it does, as before: a target that doesn't react must not take further requests whose time is shorter than a dial.

TestCancelledDialDoesNotBlockTheTarget failed before.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -30,6 +30,7 @@
 	if failure == nil {
 		res.info = g.cfg.Dialect.Read(resp)
 	}
+	res.undialed = failure != nil && failure.Kind == errkind.TargetUnreachable && ctx.Err() != nil && g.now()-sent < acceptTime
 	g.updateTarget(a, res, sent)
 	a.updateCrashes(res)
 	return res
@@ -46,6 +47,9 @@
 
 // Limits for targets that failed.
 const (
+	// acceptTime is the time in which a sound target accepts a connection. A round trip
+	// between regions takes 16 ms.
+	acceptTime = 100 * time.Millisecond
 	// misdirectedBackoff is longer than a state change takes to arrive.
 	misdirectedBackoff = 300 * time.Millisecond
 	// fullBackoff is about the time in which a target with a few slots finishes
@@ -67,13 +71,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.state.Ended()
-	g.updatePath(now, c.endpoint.Address, failure)
+	if !res.undialed {
+		g.updatePath(now, c.endpoint.Address, failure)
+	}
 	if s.Load != nil {
 		defer c.state.AddReport(now, *s.Load)
 		g.pressure(c.endpoint.Service).AddReport(*s.Load)
 	}
 	label := "answered"
 	switch {
+	case res.undialed:
+		label = "undialed"
 	case failure != nil && (errors.Is(failure, upstream.ErrResetBeforeRequest) || errors.Is(failure, syscall.ECONNRESET) && c.state.ReportedWithin(now, aliveWindow)):
 		label = "full"
 		c.state.Refused()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -193,6 +193,9 @@
 	resp    *upstream.Response
 	info    ResponseInfo
 	failure *errkind.Error
+	// undialed reports that the attempt was cancelled, or its time was over, before a
+	// sound target would have accepted the connection.
+	undialed bool
 }
 
 // isFinal reports whether the response goes to the caller. An idempotent
