Don't check a path on which targets accept connections

Under overload targets reset connections all the time, so an entry VM checked its path each second with up to six new connections, which are priced. A check cannot isolate it within 500 ms of an accepted connection, so none is begun then.

TestPathThatWorksIsNotChecked failed before (3 connections).

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -49,8 +49,12 @@
 	g.checkPathIfDue(now)
 }
 
-// checkPathIfDue starts a check of the path if one is due; the mutex is held.
+// checkPathIfDue starts a check of the path if one is due; the mutex is held. None is
+// needed while targets accept connections: it could not show that the path is broken.
 func (g *Gateway) checkPathIfDue(now time.Duration) {
+	if state, _ := g.path.State(); state != reach.Isolated && g.pool.AcceptedWithin(acceptedWindow) {
+		return
+	}
 	if g.path.BeginCheck(now) {
 		g.start(g.checkPath)
 	}
