--- a/cmd/flamingoreeld/stop_test.go
+++ b/cmd/flamingoreeld/stop_test.go
@@ -192,7 +192,7 @@
 	}
 	err := entry.Wait()
 	if took := time.Since(stopped); err != nil || took > 3*time.Second {
-		t.Errorf("the entry ended with %v after %v, want 3 s at most", err, took)
+		t.Errorf("the entry ended with %v after %v, at %v, want 3 s at most after %v", err, took, time.Now().UTC(), stopped.UTC())
 	}
 	close(stop)
 	all.Wait()
