Cover a target that is at work at the end of the grace time

One suspected cause of requests that are lost in a planned stop: a request that comes late in the time in which an entry still accepts requests and is at its target when the grace time ends. Ruled out: the entry answers it with answer_timeout half a second before the end of the grace time.

--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -192,8 +192,9 @@
 	}
 	p.mu.Lock()
 	p.executions[id]++
+	serviceTime := p.serviceTime
 	p.mu.Unlock()
-	time.Sleep(p.serviceTime)
+	time.Sleep(serviceTime)
 	w.Header().Set("Flamingoreel-Response-Stamp", "stamp-"+p.id)
 	w.Header().Set("Flamingoreel-Server-Load", "1,0,4,100")
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
@@ -210,6 +211,13 @@
 	return rows
 }
 
+// setServiceTime changes how long the target runs later requests.
+func (p *platformTarget) setServiceTime(serviceTime time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serviceTime = serviceTime
+}
+
 // executionsOf returns how often a request ran.
 func (p *platformTarget) executionsOf(id string) int {
 	p.mu.Lock()
