Leave time for the delivery of a stop signal

One suspected cause of requests that are lost in a planned stop: requests that come late in the grace time. Requests that were sent more than 3 s after SIGTERM must get their answer, however long they take; an entry accepted requests for exactly 3 s from when it handled the signal. A request sent in between could be at its target at the end of the grace time and got answer_timeout.

Change: an entry accepts requests for 2.8 s, so that it may handle the signal 0.2 s late. The load balancer sends no connections after 2 s, and callers keep idle connections for 2 s.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -27,8 +27,12 @@
 const (
 	// handoffTime is how long a stopping entry still accepts requests: the load
 	// balancer stops sending connections after two readiness checks, which are
-	// 1 s apart.
-	handoffTime = 3 * time.Second
+	// 1 s apart. Requests that were sent within acceptLimit of the stop signal may be
+	// cut at the end of the grace time; signalMargin is the time that the process may
+	// take to handle the signal.
+	handoffTime  = acceptLimit - signalMargin
+	acceptLimit  = 3 * time.Second
+	signalMargin = 200 * time.Millisecond
 	// callerIdleTime is how long callers are told to keep an idle connection. It is
 	// shorter than handoffTime: when a stopping entry closes its idle connections,
 	// no caller sends on one any more.
