Count a relayed request as open until its reply is sent

A stopping entry VM waits until it has served no request for others for half a second. It counted from the end of the handler, so a reply that takes longer on a slow link was cut when the process ended, and the caller of the isolated VM got 502 for a request that had run. A call is now open until its response is handed to the connection.

TestResponseIsOpenUntilItIsSent is new with Node.OpenRequests.

--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -202,9 +202,9 @@
 }
 
 // RelayIdleFor returns how long this VM has served no request for another one; 0
-// while it serves one.
+// while it serves one or sends the reply.
 func (g *Gateway) RelayIdleFor() time.Duration {
-	if g.relayLimit.inProgress.Load() > 0 {
+	if g.relayLimit.inProgress.Load() > 0 || g.links.OpenRequests() > 0 {
 		return 0
 	}
 	return time.Since(time.Unix(0, g.relayLimit.idleSince.Load()))
--- a/internal/link/call_test.go
+++ b/internal/link/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,3 +162,31 @@
 	}
 	a.Disconnect("unknown")
 }
+
+// Guards against a VM that stops while the response to a call is still being sent: a
+// response that takes long counts as open until it is sent.
+func TestResponseIsOpenUntilItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		response := make([]byte, 1<<20)
+		a, b := n.pair(map[string]Handler{"long": func(context.Context, string, []byte) ([]byte, error) { return response, nil }})
+		if b.OpenRequests() != 0 {
+			t.Error("a request is open before the first call")
+		}
+		done := make(chan error, 1)
+		go func() {
+			_, err := a.Call(t.Context(), "b", "long", nil)
+			done <- err
+		}()
+		open := false
+		for len(done) == 0 {
+			open = open || b.OpenRequests() == 1
+			runtime.Gosched()
+		}
+		synctest.Wait()
+		if err := <-done; err != nil || !open || b.OpenRequests() != 0 {
+			t.Errorf("got %v, open during the call: %v, %d open after it", err, open, b.OpenRequests())
+		}
+		_, _ = a.Close(), b.Close()
+	})
+}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// OpenRequests returns the number of calls of peers whose response is not yet handed
+// to the connection as a whole.
+func (n *Node) OpenRequests() int {
+	open := 0
+	for _, p := range n.allPeers() {
+		open += p.openRequests()
+	}
+	return open
+}
+
 // Serve starts to accept connections in the background.
 func (n *Node) Serve() {
 	n.mu.Lock()
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -244,6 +244,19 @@
 	}
 }
 
+// openRequests returns the number of calls of the peer without a complete response.
+func (p *peer) openRequests() int {
+	p.mu.Lock()
+	c := p.accepted
+	p.mu.Unlock()
+	if c == nil {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.serverStreams)
+}
+
 // clearAccepted removes a connection that the peer dialed after it has ended,
 // unless a newer one replaced it.
 func (p *peer) clearAccepted(c *conn) {
