--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 soak:
 	./scripts/soak.sh
 
-# Runs the fault soak: daemons as processes under random faults, about 11 s per
+# Runs the fault soak: daemons as processes under random faults, about 18 s per
 # seed. SEEDS is FIRST:COUNT; by default 20 seeds start at a number from the clock.
 SEEDS ?= $(shell date +%s | cut -c4-):20
 fault-soak:
