Keep tests of isolated VMs exact on a busy machine

Beside load (average 60 to 97 on 8 CPUs) three faults of the test itself showed:

- The proxy read /proc/net/tcp for each connection to find the VM that opened it; the table lists the sockets of the whole machine, 14,700 lines here, and the test process could no longer serve the other VMs.
It asks the kernel for the one socket now.
- A thread of a VM that was just being created kept all CPUs, so that connection attempts of an isolated VM could pass.
Threads are moved until none is left.
- A connection that an isolated VM had opened just before the fault was still forwarded after a reset.

Refused connections are reset as soon as they are accepted, and the test logs how many of them had sent a request by then.

--- a/cmd/flamingoreeld/isolation_test.go
+++ b/cmd/flamingoreeld/isolation_test.go
@@ -226,7 +226,8 @@
 	for _, name := range names {
 		s.eventually(name+" sends to targets again", soakRecovery, func() bool { return s.sentDirectly(name, healed) })
 	}
-	s.t.Logf("%s, %v: isolated for %v, direct again after %v", fault, names, healed.Sub(began).Round(time.Millisecond), time.Since(healed).Round(time.Millisecond))
+	s.t.Logf("%s, %v: isolated for %v, direct again after %v, %d connections refused late", fault, names,
+		healed.Sub(began).Round(time.Millisecond), time.Since(healed).Round(time.Millisecond), s.paths.lateRefusals)
 }
 
 // checkServed checks that the callers of isolated entry VMs are served like others. The
--- a/cmd/flamingoreeld/paths_test.go
+++ b/cmd/flamingoreeld/paths_test.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"bufio"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -55,7 +56,10 @@
 	fault     pathFault
 	isolated  []string
 	listeners []*net.TCPListener
-	conns     map[*net.TCPConn]string
+	// lateRefusals counts the connections that were reset after their VM had sent a
+	// request.
+	lateRefusals int
+	conns        map[*net.TCPConn]string
 	// senders maps the addresses of a proxy's connection to a target to the VM whose
 	// requests it forwards.
 	senders map[[2]string]string
@@ -182,21 +186,30 @@
 		cpus = p.broken
 	}
 	// A thread that starts meanwhile may have inherited the earlier CPUs.
-	for range 2 {
-		tasks, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", p.pids[name]))
-		if err != nil {
-			return // The process has ended.
+	for p.pinThreads(name, cpus) {
+	}
+}
+
+// pinThreads moves the threads of a VM that run elsewhere to some CPUs and reports
+// whether there were any.
+func (p *targetPaths) pinThreads(name string, cpus unix.CPUSet) (moved bool) {
+	tasks, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", p.pids[name]))
+	if err != nil {
+		return false // The process has ended.
+	}
+	for _, task := range tasks {
+		id, err := strconv.Atoi(task.Name())
+		var now unix.CPUSet
+		if err != nil || unix.SchedGetaffinity(id, &now) != nil || now == cpus {
+			continue
 		}
-		for _, task := range tasks {
-			id, err := strconv.Atoi(task.Name())
-			if err != nil {
-				continue
-			}
-			if err := unix.SchedSetaffinity(id, &cpus); err != nil && !errors.Is(err, syscall.ESRCH) {
-				p.t.Errorf("CPUs of %s: %v", name, err)
-			}
+		err = unix.SchedSetaffinity(id, &cpus)
+		if err != nil && !errors.Is(err, syscall.ESRCH) {
+			p.t.Errorf("CPUs of %s: %v", name, err)
 		}
+		moved = moved || err == nil
 	}
+	return moved
 }
 
 // listen makes the paths break for connections to a listener.
@@ -246,28 +259,44 @@
 	}
 }
 
-// accepted returns the VM that opened a connection, and whether it may be used.
-func (p *targetPaths) accepted(c *net.TCPConn) (string, bool) {
-	cpu := -1
+// refuse resets a connection if it is one to be refused. It is called at once: a VM waits
+// for a few milliseconds before it uses a new connection.
+func (p *targetPaths) refuse(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault != pathRefused {
+		return false
+	}
+	cpu, unread := -1, 0
 	control(p.t, c, func(fd int) (err error) {
-		cpu, err = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_INCOMING_CPU)
+		if cpu, err = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_INCOMING_CPU); err == nil {
+			unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
+		}
 		return err
 	})
-	p.mu.Lock()
-	refused := p.fault == pathRefused && cpu >= p.firstBroken
-	p.mu.Unlock()
-	if refused {
-		_ = c.SetLinger(0)
-		_ = c.Close()
-		return "", false
+	if cpu < p.firstBroken {
+		return false
+	}
+	if unread > 0 {
+		p.lateRefusals++
 	}
+	_ = c.SetLinger(0)
+	_ = c.Close()
+	return true
+}
+
+// accepted returns the VM that opened a connection, and whether it may be used.
+func (p *targetPaths) accepted(c *net.TCPConn) (string, bool) {
 	name := p.owner(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c] = name
-	if p.fault != pathSilent || !slices.Contains(p.isolated, name) {
-		p.detach(c) // It may have the filter of the listener.
+	if p.fault != pathOpen && slices.Contains(p.isolated, name) {
+		_ = c.SetLinger(0) // It was opened just before the fault began.
+		_ = c.Close()
+		return "", false
 	}
+	p.conns[c] = name
+	p.detach(c) // It may have the filter of the listener.
 	return name, true
 }
 
@@ -304,8 +333,8 @@
 
 // owner returns the name of the VM that opened a connection, or "" if it has closed it.
 func (p *targetPaths) owner(c *net.TCPConn) string {
-	inode := socketInode(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
-	if inode == "" {
+	inode := socketInode(p.t, c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	if inode == 0 {
 		return ""
 	}
 	p.mu.Lock()
@@ -319,30 +348,59 @@
 	return ""
 }
 
-// socketInode returns the inode of the loopback socket with the given ports.
-func socketInode(local, remote int) string {
-	file, err := os.Open("/proc/net/tcp")
+// Sizes and offsets of messages of the kernel's socket diagnostics (linux/inet_diag.h).
+const (
+	diagHeaderBytes  = 16
+	diagRequestBytes = diagHeaderBytes + 56
+	diagIDOffset     = diagHeaderBytes + 8
+	diagInodeOffset  = diagHeaderBytes + 68
+)
+
+// socketInode returns the inode of the loopback socket with the given ports, or 0. It
+// asks for this one socket, because /proc/net/tcp lists those of the whole machine.
+func socketInode(t *testing.T, local, remote int) uint32 {
+	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_RAW|unix.SOCK_CLOEXEC, unix.NETLINK_INET_DIAG)
 	if err != nil {
-		return ""
+		t.Errorf("socket diagnostics: %v", err)
+		return 0
 	}
-	defer func() { _ = file.Close() }()
-	from, to := fmt.Sprintf("0100007F:%04X", local), fmt.Sprintf("0100007F:%04X", remote)
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if f := strings.Fields(lines.Text()); len(f) > 9 && f[1] == from && f[2] == to {
-			return f[9]
-		}
+	defer func() { _ = unix.Close(fd) }()
+	loopback := []byte{127, 0, 0, 1}
+	m := make([]byte, diagRequestBytes)
+	order := binary.NativeEndian
+	order.PutUint32(m, diagRequestBytes)
+	order.PutUint16(m[4:], unix.SOCK_DIAG_BY_FAMILY)
+	order.PutUint16(m[6:], unix.NLM_F_REQUEST)
+	m[diagHeaderBytes], m[diagHeaderBytes+1] = unix.AF_INET, unix.IPPROTO_TCP
+	order.PutUint32(m[diagHeaderBytes+4:], math.MaxUint32) // all states
+	id := m[diagIDOffset:]
+	binary.BigEndian.PutUint16(id, uint16(local))
+	binary.BigEndian.PutUint16(id[2:], uint16(remote))
+	copy(id[4:], loopback)
+	copy(id[20:], loopback)
+	order.PutUint64(id[40:], math.MaxUint64) // any cookie
+	if err := unix.Sendto(fd, m, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		t.Errorf("socket diagnostics: %v", err)
+		return 0
 	}
-	return ""
+	reply := make([]byte, 4<<10)
+	n, _, err := unix.Recvfrom(fd, reply, 0)
+	if err != nil || n < diagInodeOffset+4 || order.Uint16(reply[4:]) != unix.SOCK_DIAG_BY_FAMILY {
+		return 0 // The socket is closed.
+	}
+	return order.Uint32(reply[diagInodeOffset:])
 }
 
 // hasSocket reports whether a process has a socket open.
-func hasSocket(pid int, inode string) bool {
-	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+func hasSocket(pid int, inode uint32) bool {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	want := fmt.Sprintf("socket:[%d]", inode)
+	files, err := os.ReadDir(dir)
 	if err != nil {
 		return false
 	}
 	for _, file := range files {
-		if link, err := os.Readlink(file); err == nil && link == "socket:["+inode+"]" {
+		if link, err := os.Readlink(filepath.Join(dir, file.Name())); err == nil && link == want {
 			return true
 		}
 	}
--- a/cmd/flamingoreeld/proxy_test.go
+++ b/cmd/flamingoreeld/proxy_test.go
@@ -101,6 +101,9 @@
 			p.connect(client, "")
 			continue
 		}
+		if p.paths.refuse(client.(*net.TCPConn)) {
+			continue
+		}
 		go func() {
 			if name, ok := p.paths.accepted(client.(*net.TCPConn)); ok {
 				p.connect(client, name)
