Keep interim headers and let a request be withdrawn before it is sent

Two things that a caller of the pool could not do: see what a target says in an interim response, which was read and dropped, and stop a request whose target turned out to be unavailable while the connection was established. Proceed is asked once there is a connection; a request that is stopped was not sent, so its kind is target_unreachable, and the connection stays in the pool.

--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -35,7 +35,9 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Interim holds the headers of the interim (1xx) responses that came before.
+	Interim []http.Header
+	Body    []byte
 	// Rest streams the part of a long body that follows Body; nil if there is none.
 	// It must be closed.
 	Rest *Stream
@@ -64,11 +66,11 @@
 	if err := c.write(req); err != nil {
 		return nil, lost(err)
 	}
-	head, err := c.readHead(req)
+	head, interim, err := c.readHead(req)
 	if err != nil {
 		return nil, lost(err)
 	}
-	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Reused: c.completed > 0}
+	resp := &Response{Status: head.StatusCode, Header: head.Header, Interim: interim, Length: head.ContentLength, Reused: c.completed > 0}
 	if head.Close {
 		resp.Header.Set("Connection", "close")
 	}
@@ -120,16 +122,16 @@
 	return err
 }
 
-// readHead reads the status line and headers of the final response and skips
-// interim (1xx) responses.
-func (c *conn) readHead(req *Request) (*http.Response, error) {
+// readHead reads the status line and headers of the final response, and returns
+// the headers of the interim (1xx) responses before it.
+func (c *conn) readHead(req *Request) (final *http.Response, interim []http.Header, err error) {
 	c.bounded.remaining = maxHeadBytes
 	defer func() { c.bounded.remaining = math.MaxInt64 }()
 	if _, err := c.r.Peek(1); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := c.nc.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: req.Method})
@@ -138,16 +140,17 @@
 			if errors.As(err, &timeout) && timeout.Timeout() {
 				err = errors.Join(ErrUnbounded, err)
 			}
-			return nil, err
+			return nil, nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, c.nc.SetReadDeadline(time.Time{})
+			return resp, interim, c.nc.SetReadDeadline(time.Time{})
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the target switched protocols")
+			return nil, nil, errors.New("the target switched protocols")
 		}
+		interim = append(interim, resp.Header)
 	}
-	return nil, ErrUnbounded
+	return nil, nil, ErrUnbounded
 }
 
 // maxSingleWriteBody is the largest request body, in bytes, that is appended to
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,10 @@
 // connections.
 var ErrResetBeforeRequest = errors.New("the target reset the new connection")
 
+// ErrWithdrawn is the cause of TargetUnreachable when Request.Proceed stopped a
+// request before it was sent.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+
 // Request is a request to a target.
 type Request struct {
 	// Addr is the target's address.
@@ -69,6 +73,9 @@
 	// MaxBufferedBytes is the maximum number of bytes of the response body that Do reads before
 	// it returns; the rest of a longer body is read from Response.Rest.
 	MaxBufferedBytes int
+	// Proceed reports, once there is a connection, whether the request may still be
+	// sent; nil always sends it.
+	Proceed func() bool
 	// Accept reports, from the status and the headers, whether a response belongs
 	// to this request; nil accepts any response. The connection of a response that
 	// is not accepted is closed.
@@ -123,6 +130,10 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.TargetUnreachable, err, "no connection to %s", req.Addr)
 	}
+	if req.Proceed != nil && !req.Proceed() {
+		p.keepUnused(req.Addr, c)
+		return nil, errkind.Wrap(errkind.TargetUnreachable, ErrWithdrawn, "nothing was sent to %s", req.Addr)
+	}
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	resp, failure := c.exchange(req)
 	if failure != nil {
@@ -206,6 +217,20 @@
 	}
 	c.completed++
 	c.usableUntil = time.Now().Add(idleTime(h))
+	p.addIdle(addr, c)
+}
+
+// keepUnused returns a connection to the pool that was taken for a request which
+// was not sent.
+func (p *Pool) keepUnused(addr string, c *conn) {
+	if c.completed == 0 {
+		c.usableUntil = time.Now().Add(defaultIdleTime)
+	}
+	p.addIdle(addr, c)
+}
+
+// addIdle adds an idle connection unless there are enough of them.
+func (p *Pool) addIdle(addr string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[addr]) >= maxIdleConns {
