Heed what targets announce in their responses

With the present code an entry learned of a leave only from control, and never of a pause.

Both announcements are now kept by incarnation (placement.Availability): a leave is never taken back, the longest pause holds, for one hour at most. They are read at the head of each response that is proved to be the target's, so also in refusals, failures, truncated or late responses, health checks and, with the final response, interim ones; a 421 counts only if it names the expected target. They are consulted with control's condition when candidates are collected and once more when the connection is there, so hedges, retries and requests that waited for a connection are covered. After a pause the requests in flight are limited to one more every 50 ms for half a second. If all targets that could run a request are paused it is refused at once as target_paused, with the time of the first return, spread. A request for a key whose holder leaves waits for the next holder only while a response can still come in time. Health checks and questions for cold targets wait for the end of a pause.

--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -33,6 +33,8 @@
 	stop     chan struct{}
 	// heartbeatsOff is true while the target sends no heartbeats.
 	heartbeatsOff atomic.Bool
+	// announcer makes the target say that it is leaving or paused.
+	announcer announcer
 
 	mu      sync.Mutex
 	state   string
@@ -190,6 +192,10 @@
 	if err != nil {
 		return
 	}
+	if p.announcer.announce(w, r) {
+		return
+	}
+	defer p.announcer.answered(r)
 	p.mu.Lock()
 	p.executions[id]++
 	p.mu.Unlock()
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -43,6 +43,7 @@
 	Overloaded        Kind = "overloaded"
 	QueueTimeout      Kind = "queue_timeout"
 	TargetRefused     Kind = "target_refused"
+	TargetPaused      Kind = "target_paused"
 	TargetUnreachable Kind = "target_unreachable"
 	KnownCrasher      Kind = "known_crasher"
 	DependencyDown    Kind = "dependency_down"
@@ -93,6 +94,7 @@
 	Overloaded:        {http.StatusTooManyRequests, NotRun, true},
 	QueueTimeout:      {http.StatusServiceUnavailable, NotRun, true},
 	TargetRefused:     {http.StatusServiceUnavailable, NotRun, true},
+	TargetPaused:      {http.StatusServiceUnavailable, NotRun, true},
 	TargetUnreachable: {http.StatusServiceUnavailable, NotRun, true},
 	KnownCrasher:      {http.StatusUnprocessableEntity, NotRun, false},
 	DependencyDown:    {http.StatusServiceUnavailable, NotRun, true},
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -32,7 +32,7 @@
 		switch {
 		case failure == nil:
 			return c, nil
-		case failure.Kind == errkind.NoOwner:
+		case failure.Kind == errkind.NoOwner && a.usableAt == 0:
 			wait = forever
 		case a.usableAt == 0:
 			return choice{}, failure
@@ -48,7 +48,7 @@
 	g := a.g
 	view := g.view.Load()
 	now := g.now()
-	a.usableAt = 0
+	a.usableAt, a.unavailable, a.returnsAt = 0, available, 0
 	service, ok := view.Service(a.service)
 	if !ok {
 		return choice{}, errkind.New(errkind.UnknownService, "service %s is not known", a.service)
@@ -62,6 +62,10 @@
 	var choices []choice
 	for _, e := range endpoints {
 		t := g.stateOf(e)
+		if !t.Accepts(now, t.InFlight) {
+			a.deferTo(t, now)
+			continue
+		}
 		cold := max(e.ColdUntil, t.coldUntil) > now
 		if until := t.BlockedUntil(); a.sharded && until > now && until < a.deadline {
 			a.usableAt = until
@@ -78,6 +82,9 @@
 	left := a.arrived + a.route.LatencyObjective - now
 	i, expected := placement.Choose(now, g.workOf(a.name, a.route), left, g.rng, candidates)
 	if i < 0 {
+		if failure := a.pausedFailure(view); failure != nil && a.usableAt == 0 {
+			return choice{}, failure
+		}
 		return choice{}, errkind.New(errkind.TargetUnreachable, "none of the %d targets of %s is available", len(endpoints), a.service)
 	}
 	if now+expected > a.deadline {
@@ -106,6 +113,9 @@
 		if !ok {
 			return nil, errkind.New(errkind.NoOwner, "no target holds key %d", a.req.Key)
 		}
+		if failure := a.handoverFailure(view, owner); failure != nil {
+			return nil, failure
+		}
 		all = []*fleet.Endpoint{owner}
 	}
 	var fit []*fleet.Endpoint
@@ -115,13 +125,17 @@
 		}
 	}
 	if len(fit) == 0 {
+		if failure := a.pausedFailure(view); failure != nil {
+			return nil, failure
+		}
+		a.noteLeaving(all)
 		return nil, errkind.New(errkind.TargetUnreachable, "no target of %s may run the request", a.service)
 	}
 	return fit, nil
 }
 
 func (a *activeRequest) allowed(view *fleet.View, e *fleet.Endpoint) bool {
-	if e.Condition != fleet.Ready || view.DataCentreOut(e.DataCentre) || slices.Contains(a.tried, e.Incarnation) {
+	if e.Condition != fleet.Ready || view.DataCentreOut(e.DataCentre) || a.g.stateOf(e).Leaving() || slices.Contains(a.tried, e.Incarnation) {
 		return false
 	}
 	if a.targetCount() >= a.route.MaxAttempts && !slices.Contains(a.retryableAt, e.Incarnation) {
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -48,12 +48,13 @@
 // recentlyUsed returns the targets that received a request since the last call.
 func (g *Gateway) recentlyUsed() []choice {
 	view := g.view.Load()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var list []choice
 	for in, t := range g.targetStates {
 		e, ok := view.Endpoint(in.ID)
-		if !ok || e.StartMs != in.StartMs || t.recovering || !t.usedSinceCheck {
+		if !ok || e.StartMs != in.StartMs || t.recovering || !t.usedSinceCheck || !t.Open(now) {
 			continue
 		}
 		t.usedSinceCheck = false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,10 @@
 	ColdFor time.Duration
 	// Load is the load that the target reported, or nil.
 	Load *placement.Load
+	// Leaving reports that the target says that it is leaving.
+	Leaving bool
+	// Pause is how long the target wants no requests from this entry VM, or 0.
+	Pause time.Duration
 }
 
 // Config holds the settings of a gateway.
@@ -76,6 +80,8 @@
 	Seed                   uint64
 	Logger                 log.Interface
 	Registry               prometheus.Registerer
+	// now replaces the clock in tests.
+	now func() time.Duration
 }
 
 // Gateway is a running entry VM.
@@ -127,6 +133,7 @@
 // targetState is what the gateway knows of a target.
 type targetState struct {
 	placement.TargetStats
+	placement.Availability
 	// coldUntil comes from the target's own health check.
 	coldUntil time.Duration
 	// recovering reports that a goroutine checks the target until it is
@@ -156,6 +163,9 @@
 	}
 	g.view.Store(fleet.NewView())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	if cfg.Registry != nil {
+		cfg.Registry.MustRegister(availabilityCollector{g})
+	}
 	links.Serve()
 	g.start(g.watchControl)
 	g.start(g.sweepIdle)
@@ -207,7 +217,12 @@
 	_ = g.links.Close()
 }
 
-func (g *Gateway) now() time.Duration { return g.clock.Now() }
+func (g *Gateway) now() time.Duration {
+	if g.cfg.now != nil {
+		return g.cfg.now()
+	}
+	return g.clock.Now()
+}
 
 // Ready reports whether the gateway has received a configuration.
 func (g *Gateway) Ready() bool { return g.view.Load().Configured() }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,8 +30,9 @@
 }
 
 func (testDialect) Read(r *upstream.Response) ResponseInfo {
+	pause, _ := time.ParseDuration(r.Header.Get("X-Pause"))
 	return ResponseInfo{
-		RequestID: r.Header.Get("X-Id"), FromTarget: r.Header.Get("X-Signed") != "", NotRun: r.Header.Get("X-Not-Run") != "",
+		Leaving: testLeaving(r), Pause: pause, RequestID: r.Header.Get("X-Id"), FromTarget: r.Header.Get("X-Signed") != "", NotRun: r.Header.Get("X-Not-Run") != "",
 		Misdirected: r.Status == http.StatusMisdirectedRequest, Target: r.Header.Get("X-Target"),
 	}
 }
@@ -86,11 +87,18 @@
 }
 
 func newTestbed(t *testing.T, targets ...*testTarget) *testbed {
+	t.Helper()
+	return newTestbedAt(t, nil, targets...)
+}
+
+// newTestbedAt returns a testbed whose gateway reads the time from now; nil stands
+// for its own clock.
+func newTestbedAt(t *testing.T, now func() time.Duration, targets ...*testTarget) *testbed {
 	t.Helper()
 	g, err := New(Config{
 		Addr: "127.0.0.1:0", Region: "r", DataCentre: "d", Regions: map[string]string{"d": "r", "far": "q"},
 		Dialect: testDialect{}, ColdFactor: 1, RetryRatio: 0.2, RetrySlack: 14, Seed: 1,
-		Logger: &log.Logger{Handler: discard.New()},
+		Logger: &log.Logger{Handler: discard.New()}, now: now,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -40,9 +40,9 @@
 // checkUntilHealthy checks a target until it is healthy or gone from the view.
 func (g *Gateway) checkUntilHealthy(ctx context.Context, c choice) {
 	interval := firstCheckDelay
-	for clock.Sleep(ctx, interval) {
+	for clock.Sleep(ctx, g.checkDelay(c, interval)) {
 		e, ok := g.view.Load().Endpoint(c.endpoint.ID)
-		if !ok || e.StartMs != c.endpoint.StartMs {
+		if !ok || e.StartMs != c.endpoint.StartMs || g.leaving(c) {
 			return
 		}
 		if coldFor, healthy := g.checkHealth(ctx, c); healthy {
@@ -77,5 +77,8 @@
 	}
 	defer resp.Close()
 	s := g.cfg.Dialect.Read(resp)
+	if s.Target == c.endpoint.ID {
+		g.updateAvailability(c, s)
+	}
 	return s.ColdFor, resp.Status == http.StatusOK && s.Target == c.endpoint.ID
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,8 +14,11 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
-	probes   prometheus.Counter
-	faults   prometheus.Counter
+	// unavailable counts the requests that were refused because of what targets
+	// said about further requests.
+	unavailable *prometheus.CounterVec
+	probes      prometheus.Counter
+	faults      prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -29,6 +32,9 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "flamingoreel_gateway_sends_total", Help: "Requests sent to targets by outcome.",
 		}, []string{"outcome"}),
+		unavailable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingoreel_gateway_unavailable_total", Help: "Requests refused because the targets that may run them are leaving or paused.",
+		}, []string{"service", "reason"}),
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "flamingoreel_gateway_probes_total", Help: "Health checks of targets that failed before.",
 		}),
@@ -37,7 +43,7 @@
 		}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.sends, m.probes, m.faults)
+		registry.MustRegister(m.requests, m.latency, m.sends, m.unavailable, m.probes, m.faults)
 	}
 	return m
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -24,7 +24,7 @@
 	resp, failure := g.pool.Do(ctx, &upstream.Request{
 		Addr: c.endpoint.Address, Method: a.req.Method, URI: a.req.URI, Host: a.req.Host,
 		Header: header, Body: a.req.Body, HasBody: a.req.HasBody, ID: a.req.ID, MaxBufferedBytes: holdBytes,
-		Accept: func(r *upstream.Response) bool { return a.authentic(g.cfg.Dialect.Read(r), r) },
+		Accept: func(r *upstream.Response) bool { return a.accept(c, r) }, Proceed: func() bool { return g.open(c) },
 	})
 	res := attemptResult{choice: c, resp: resp, failure: failure}
 	if failure == nil {
@@ -73,6 +73,8 @@
 	}
 	label := "answered"
 	switch {
+	case failure != nil && errors.Is(failure, upstream.ErrWithdrawn):
+		label = "withdrawn"
 	case failure != nil && (errors.Is(failure, upstream.ErrResetBeforeRequest) || errors.Is(failure, syscall.ECONNRESET) && c.state.ReportedWithin(now, aliveWindow)):
 		label = "full"
 		c.state.Refused()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -73,7 +73,12 @@
 	tried      []fleet.Incarnation
 	// usableAt is when the only target that may run the request leaves its
 	// backoff, or 0.
-	usableAt       time.Duration
+	usableAt time.Duration
+	// unavailable says whether the last choice failed because of what targets said
+	// about further requests, and returnsAt is when the first of them accepts
+	// requests again, or 0.
+	unavailable    unavailability
+	returnsAt      time.Duration
 	failedResponse *upstream.Response
 	lastTarget     string
 }
@@ -209,6 +214,9 @@
 			return Result{Response: res.resp}
 		}
 		failure = a.recordFailure(res)
+		if paused := a.pausedBy(res); paused != nil {
+			return a.failureResult(paused)
+		}
 		if a.undoUnreachable(ctx, res) {
 			continue
 		}
@@ -271,7 +279,7 @@
 	if failure.Outcome() != errkind.NotRun {
 		return Result{Err: failure}
 	}
-	return a.g.refuse(failure)
+	return a.refuse(failure)
 }
 
 // Retry-After times of refused requests.
@@ -318,6 +326,7 @@
 		outcome = "target_failed"
 	}
 	a.g.metrics.requests.WithLabelValues(string(a.route.Kind), outcome).Inc()
+	a.countUnavailable(r)
 	a.g.metrics.latency.WithLabelValues(string(a.route.Kind)).Observe(took.Seconds())
 	if outcome == "answered" {
 		return
