Simulate targets that pause half of the time

Two patterns for each service, targets that pause for one of every two seconds in turn or all together, and two policies to compare with: the present one (pauses ignored) and an upper bound in which all entries know at once what a target said to one. The table has the refused share and the tries for one request too.

--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -35,10 +35,12 @@
 	addr       string
 	dataCentre int
 	stats      []placement.TargetStats
-	averages   placement.ServiceAverage
-	pressure   placement.LoadShedder
-	preferred  map[string]bool
-	rng        *rand.Rand
+	// availability holds what each target has said about further requests.
+	availability []placement.Availability
+	averages     placement.ServiceAverage
+	pressure     placement.LoadShedder
+	preferred    map[string]bool
+	rng          *rand.Rand
 	// idle holds, by target index, when each idle connection was last used.
 	idle map[int][]time.Duration
 	// roundRobin is the position of the round robin policy.
@@ -68,7 +70,9 @@
 	targets []*target
 	// byDataCentre holds the entries by the index of their data centre.
 	byDataCentre [][]*entry
-	rng          *rand.Rand
+	// announced holds what each target has said to any entry.
+	announced []placement.Availability
+	rng       *rand.Rand
 }
 
 func newFleet(p Pattern, seed uint64) *fleet {
@@ -84,10 +88,12 @@
 			n := len(f.entries)
 			e := &entry{addr: fmt.Sprintf("10.0.0.%d", n), dataCentre: i, rng: rand.New(rand.NewPCG(seed, uint64(n))), idle: make(map[int][]time.Duration)}
 			e.stats = make([]placement.TargetStats, len(f.targets))
+			e.availability = make([]placement.Availability, len(f.targets))
 			f.entries = append(f.entries, e)
 			f.byDataCentre[i] = append(f.byDataCentre[i], e)
 		}
 	}
+	f.announced = make([]placement.Availability, len(f.targets))
 	for _, e := range f.entries {
 		e.preferred = f.subset(e)
 		for i := range e.stats {
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -70,6 +70,8 @@
 	Classes   []Class
 	// Outages are the periods in which targets of a data centre are unreachable.
 	Outages []Outage
+	// Pauses are the times in which targets refuse all requests.
+	Pauses Pauses
 	// BurstFactor is a factor on the rate from BurstFrom, for the time BurstFor; 0 is no
 	// burst.
 	BurstFrom, BurstFor time.Duration
@@ -102,8 +104,8 @@
 // Patterns returns the load patterns on which policies are compared. They cover
 // the users' services whose keys are not assigned to targets: ledger at its
 // present size, ledger and spares-desk at their expected future size. Each one
-// runs below the stated rate, at it, above it with a burst, and with the loss of a
-// data centre. The figures are those of the users; the crowding is an assumption.
+// runs below the stated rate, at it, above it with a burst, with the loss of a data
+// centre, and with targets that pause half of the time. The figures are those of the users; the crowding is an assumption.
 func Patterns() []Pattern {
 	ledger := Pattern{
 		Name: "ledger", Slots: 6, Queue: 24, Speeds: []float64{0.6, 1, 1.4}, NoiseShare: 0.2, NoiseFactor: 3, NoiseEvery: 400 * time.Millisecond,
@@ -120,7 +122,7 @@
 	spares.DataCentres = dataCentres(3, 3, []int{11, 11, 11, 10, 11, 9, 9, 10, 9}, []int{33, 28, 30, 34, 31, 28, 32, 35, 30})
 	var patterns []Pattern
 	for _, base := range []Pattern{ledger, grownLedger, spares} {
-		calm, high, over, lost := base, base, base, base
+		calm, high, over, lost, pausing, together := base, base, base, base, base, base
 		calm.Name += ", calm"
 		calm.PerSecond *= 0.6
 		high.Name += ", stated"
@@ -130,7 +132,13 @@
 		lost.Name += ", data centre lost"
 		lost.PerSecond *= 1.15
 		lost.Outages = []Outage{{DataCentre: 0, From: 6 * time.Second, To: 11 * time.Second, ColdFor: 3 * time.Second, ColdFactor: 2}}
-		patterns = append(patterns, calm, high, over, lost)
+		pausing.Name += ", targets paused in turn"
+		pausing.PerSecond *= 0.6
+		pausing.Pauses = Pauses{Every: 2 * time.Second, For: time.Second}
+		together.Name += ", targets paused together"
+		together.PerSecond *= 0.4
+		together.Pauses = Pauses{Every: 2 * time.Second, For: time.Second, Together: true}
+		patterns = append(patterns, calm, high, over, lost, pausing, together)
 	}
 	return patterns
 }
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -22,6 +22,10 @@
 	// indexes in the deployment.
 	Candidates    []placement.Candidate
 	TargetIndexes []int
+	// HoldUntil, if a policy sets it and refuses, is the time at which the request is
+	// sent again without its caller. ReturnAt is the time at which the caller may come
+	// back.
+	HoldUntil, ReturnAt time.Duration
 
 	entry *entry
 	fleet *fleet
@@ -40,6 +44,8 @@
 		{"round robin", RoundRobin},
 		{"product, unknown targets count as empty", WithoutServiceAverages},
 		{"product, all requests admitted", WithoutLoadShedding},
+		{"product, pauses ignored", WithoutPauses},
+		{"product, pauses known to all entries", SharedPauses},
 		{"product", Product},
 		{"oracle", Oracle},
 	}
@@ -48,19 +54,37 @@
 // Product is the product's policy: it chooses the target with the lowest expected
 // latency. It refuses the request if no response is expected before the timeout,
 // or if load shedding refuses it because of queue pressure.
-func Product(s *PolicyInput) int { return product(s, true) }
+func Product(s *PolicyInput) int {
+	return product(s, options{admission: true, pauses: s.entry.availability})
+}
 
 // WithoutLoadShedding is the product's policy without load shedding.
-func WithoutLoadShedding(s *PolicyInput) int { return product(s, false) }
+func WithoutLoadShedding(s *PolicyInput) int {
+	return product(s, options{pauses: s.entry.availability})
+}
+
+// options selects parts of the product's policy.
+type options struct {
+	admission bool
+	// pauses holds what is known of the pauses of targets; nil ignores them.
+	pauses []placement.Availability
+}
 
-func product(s *PolicyInput, admission bool) int {
-	i, expected := placement.Choose(s.Now, s.Class.ServiceTime, s.Class.LatencyObjective-s.Waited, s.entry.rng, s.Candidates)
+func product(s *PolicyInput, o options) int {
+	candidates, indexes := s.Candidates, []int(nil)
+	if o.pauses != nil {
+		candidates, indexes = s.skipPaused(o.pauses)
+	}
+	i, expected := placement.Choose(s.Now, s.Class.ServiceTime, s.Class.LatencyObjective-s.Waited, s.entry.rng, candidates)
 	if s.Waited+expected > s.Class.Timeout {
 		return -1
 	}
-	if admission && !s.Refused && !s.entry.pressure.Admit(expected, s.Class.LatencyObjective-s.Waited, s.Class.Urgent, s.entry.rng.Float64()) {
+	if o.admission && !s.Refused && !s.entry.pressure.Admit(expected, s.Class.LatencyObjective-s.Waited, s.Class.Urgent, s.entry.rng.Float64()) {
 		return -1
 	}
+	if o.pauses != nil && i >= 0 {
+		return indexes[i]
+	}
 	return i
 }
 
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -25,14 +25,14 @@
 // WriteTable writes rows as a Markdown table, with shares between 0 and 1 and
 // times in ms. It returns the first error of the writer.
 func WriteTable(w io.Writer, rows []Row) error {
-	_, err := fmt.Fprint(w, "| pattern | policy | credit | worst 2 s | worst class | in aim | served | p50 | p99 | new connections | other region |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+	_, err := fmt.Fprint(w, "| pattern | policy | credit | worst 2 s | worst class | in aim | served | refused | tries | p50 | p99 | new connections | other region |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, row := range rows {
 		if err != nil {
 			return err
 		}
 		r := row.Result
-		_, err = fmt.Fprintf(w, "| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %d | %d | %.3f | %.3f |\n", row.Pattern, row.Policy,
-			r.Credit, r.WorstWindow, r.WorstClass, r.WithinObjective, r.Served, r.P50.Milliseconds(), r.P99.Milliseconds(), r.NewConnections, r.OtherRegion)
+		_, err = fmt.Fprintf(w, "| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f | %d | %d | %.3f | %.3f |\n", row.Pattern, row.Policy,
+			r.Credit, r.WorstWindow, r.WorstClass, r.WithinObjective, r.Served, r.Refused, r.Attempts, r.P50.Milliseconds(), r.P99.Milliseconds(), r.NewConnections, r.OtherRegion)
 	}
 	return err
 }
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -44,7 +44,9 @@
 	Credit, WorstWindow, WorstClass float64
 	// WithinObjective is the share of requests with a response within the latency objective,
 	// Served the share with a response within the timeout.
-	WithinObjective, Served float64
+	// Refused is the share that was refused until its caller had no retries or no time
+	// left, and Attempts the mean number of attempts at targets for one request.
+	WithinObjective, Served, Refused, Attempts float64
 	// P50 and P99 are latency percentiles of the requests of Served.
 	P50, P99 time.Duration
 	// NewConnections is the share of attempts that needed a new connection, OtherRegion the
@@ -56,11 +58,11 @@
 	// Classes is the credit of each class by name.
 	Classes map[string]float64
 
-	arrived, within, served, attempts, dials, otherRegion, outside int
-	latencies                                                      []time.Duration
-	total                                                          credit
-	windows                                                        map[time.Duration]credit
-	classes                                                        map[string]credit
+	arrived, within, served, refused, attempts, dials, otherRegion, outside int
+	latencies                                                               []time.Duration
+	total                                                                   credit
+	windows                                                                 map[time.Duration]credit
+	classes                                                                 map[string]credit
 }
 
 func newResult() Result {
@@ -94,6 +96,9 @@
 			earned = q.class.Credit
 		}
 	}
+	if how == endRefused {
+		r.refused++
+	}
 	r.total = r.total.plus(earned, q.class.Credit)
 	w := q.arrived / windowLength
 	r.windows[w] = r.windows[w].plus(earned, q.class.Credit)
@@ -117,6 +122,7 @@
 		r.WorstClass = min(r.WorstClass, c.share())
 	}
 	r.WithinObjective, r.Served = share(r.within, r.Requests), share(r.served, r.Requests)
+	r.Refused, r.Attempts = share(r.refused, r.Requests), share(r.attempts, r.Requests)
 	r.NewConnections, r.OtherRegion, r.OutsideSubset = share(r.dials, r.attempts), share(r.otherRegion, r.attempts), share(r.outside, r.attempts)
 	slices.Sort(r.latencies)
 	if n := len(r.latencies); n > 0 {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -110,8 +110,12 @@
 	if len(q.refusedBy) <= maxTries {
 		i = r.policy(s)
 	}
+	if i < 0 && s.HoldUntil > r.now && s.HoldUntil-q.arrived < q.class.Timeout {
+		r.schedule(s.HoldUntil, func() { r.send(q) })
+		return
+	}
 	if i < 0 {
-		r.refuse(q)
+		r.refuse(q, s.ReturnAt)
 		return
 	}
 	q.target, q.sent = f.targets[s.TargetIndexes[i]], r.now
@@ -128,9 +132,10 @@
 )
 
 // refuse refuses a request. The caller retries at a random entry of the same data
-// centre while it has retries and time left.
-func (r *run) refuse(q *request) {
-	wait := retryMin + time.Duration(r.f.rng.Float64()*float64(retrySpread))
+// centre while it has retries and time left. returnAt is when a target accepts
+// requests again, or 0.
+func (r *run) refuse(q *request, returnAt time.Duration) {
+	wait := r.retryDelay(q, returnAt)
 	if q.retries >= q.class.Retries || r.now+wait-q.arrived > q.class.Timeout {
 		r.result.add(q, endRefused, 0)
 		return
@@ -156,9 +161,12 @@
 // deliver handles the arrival of a request at its target.
 func (r *run) deliver(q *request) {
 	p := r.f.pattern
+	pause := p.Pauses.left(r.now, q.target.index, len(r.f.targets))
 	switch {
 	case q.target.lost:
 		r.handleUnreachable(q)
+	case pause > 0:
+		r.refusePaused(q, pause)
 	case q.target.running < p.Slots:
 		r.execute(q)
 	case len(q.target.waiting) < p.Queue:
