Let the stand-in announce that it leaves and ask for a pause

The stand-in program could drain and shed, but only told those who grant to it. Both are off by default.

--- a/cmd/standin/settings.go
+++ b/cmd/standin/settings.go
@@ -60,6 +60,8 @@
 		number("cold-factor", standin.DefaultColdFactor, "factor on the service time of cold requests"),
 		text("journal", "", "file to which the idempotency key of every posting is appended"),
 		duration("load-lag", 0, "age of the load report"),
+		text("leaving-header", "", "header with the value 1 in all responses while the target drains"),
+		duration("pause", 0, "time without requests that a full target asks for; 0 asks for none"),
 		duration("drain-grace", time.Second, "time after a stop signal in which new requests are still accepted"),
 		duration("drain-timeout", 10*time.Second, "maximum wait for running requests after the grace period"),
 	}
@@ -96,7 +98,7 @@
 	if c.Duration("announce-interval") <= 0 {
 		fault("--announce-interval must be above 0")
 	}
-	for _, name := range []string{"service-time", "load-lag", "drain-grace", "drain-timeout"} {
+	for _, name := range []string{"service-time", "load-lag", "pause", "drain-grace", "drain-timeout"} {
 		if c.Duration(name) < 0 {
 			fault("--%s must be at least 0", name)
 		}
@@ -119,6 +121,8 @@
 		ColdRequests:     c.Int("cold-requests"),
 		ColdFactor:       c.Float("cold-factor"),
 		LoadLag:          c.Duration("load-lag"),
+		LeavingHeader:    c.String("leaving-header"),
+		Pause:            c.Duration("pause"),
 	}, faults
 }
 
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -63,6 +63,12 @@
 	ColdFactor   float64
 	// LoadLag is the age of the load report.
 	LoadLag time.Duration
+	// LeavingHeader names a header that all responses carry, with the value 1, while
+	// the target drains; empty means none.
+	LeavingHeader string
+	// Pause is the time for which the target asks senders to send nothing when it
+	// sheds a request; 0 asks for none.
+	Pause time.Duration
 	// Ledger holds the accounts that the target serves; nil creates a new one.
 	// Targets that share a ledger see each other's postings.
 	Ledger *Ledger
--- a/internal/standin/requests.go
+++ b/internal/standin/requests.go
@@ -67,6 +67,9 @@
 	if run.isCrashed() || t.waitUnfrozen(context.Background(), run) != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if reason == ReasonShedding && t.cfg.Pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(t.cfg.Pause.Seconds(), 'f', -1, 64))
+	}
 	if reason != "" {
 		refuse(w, reason)
 		return
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -37,10 +37,20 @@
 		if t.waitUnfrozen(r.Context(), run) != nil || run.isCrashed() {
 			panic(http.ErrAbortHandler)
 		}
+		t.announceLeave(run, w)
 		serve(run, w, r)
 	}
 }
 
+// announceLeave sets Config.LeavingHeader while the target drains.
+func (t *Target) announceLeave(run *incarnation, w http.ResponseWriter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cfg.LeavingHeader != "" && run.draining {
+		w.Header().Set(t.cfg.LeavingHeader, "1")
+	}
+}
+
 func (t *Target) serveGrant(run *incarnation, w http.ResponseWriter, r *http.Request) {
 	var req target.GrantRequest
 	if !readJSON(w, r, &req) {
