Announce nothing to processes of other builds in the soak

A script that mixes builds puts another program in the place of the test binary. Processes of earlier builds do not heed announcements, so the soak would fail on what only the present build promises. The soak now draws announcements only where the processes are its own build, and its log says whether it did; everything else of the soak still holds for mixed builds.

--- a/cmd/flamingoreeld/soak_announce_test.go
+++ b/cmd/flamingoreeld/soak_announce_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"time"
 )
@@ -20,9 +23,25 @@
 // disruption is a span in which a process had a fault.
 type disruption struct{ from, to time.Time }
 
+// ownBuild reports whether the processes run this build. A script may put another
+// program in the place of the test binary to mix builds.
+func ownBuild() bool {
+	own, err := os.Executable()
+	if err != nil {
+		return false
+	}
+	started, err := exec.LookPath(os.Args[0])
+	if err != nil {
+		return false
+	}
+	started, err = filepath.Abs(started)
+	return err == nil && started == own
+}
+
 // announce lets a random target say that it is leaving, or pause for a random time.
+// Processes of earlier builds do not heed that, so targets announce nothing to them.
 func (s *soak) announce() {
-	if s.rng.Float64() >= announceShare {
+	if s.rng.Float64() >= announceShare || !ownBuild() {
 		return
 	}
 	target := s.targets[s.rng.IntN(len(s.targets))]
@@ -90,7 +109,7 @@
 			}
 		}
 	}
-	s.t.Logf("%d late arrivals, explained by faults unless listed", checked)
+	s.t.Logf("%d late arrivals, explained by faults unless listed; announcements drawn: %v", checked, ownBuild())
 }
 
 // disruptedBetween reports whether a process had a fault in a span.
