--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -37,6 +37,8 @@
 	stop     chan struct{}
 	// heartbeatsOff is true while the target sends no heartbeats.
 	heartbeatsOff atomic.Bool
+	// announcer makes the target say that it is leaving or paused.
+	announcer announcer
 
 	mu      sync.Mutex
 	state   string
@@ -204,6 +206,9 @@
 	if err != nil {
 		return
 	}
+	if p.announcer.announce(w, r) {
+		return
+	}
 	p.execute(r, id)
 	w.Header().Set("Flamingoreel-Response-Stamp", "stamp-"+p.id)
 	w.Header().Set("Flamingoreel-Server-Load", "1,0,4,100")
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -37,7 +37,7 @@
 	case failure == nil:
 		g.path.Answered(now, addr)
 		return
-	case errors.Is(failure, context.Canceled):
+	case errors.Is(failure, context.Canceled), errors.Is(failure, upstream.ErrWithdrawn):
 		return
 	case errors.Is(failure, upstream.ErrResetBeforeRequest), errors.Is(failure, syscall.ECONNRESET):
 		g.path.Reset(now, addr)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -40,10 +40,20 @@
 		if id := r.Header.Get(target.HeaderRequestID); id != "" {
 			w.Header().Set(target.HeaderRequestID, id)
 		}
+		t.announceLeave(run, w)
 		serve(run, w, r)
 	}
 }
 
+// announceLeave sets Config.LeavingHeader while the target drains.
+func (t *Target) announceLeave(run *incarnation, w http.ResponseWriter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cfg.LeavingHeader != "" && run.draining {
+		w.Header().Set(t.cfg.LeavingHeader, "1")
+	}
+}
+
 func (t *Target) serveGrant(run *incarnation, w http.ResponseWriter, r *http.Request) {
 	var req target.GrantRequest
 	if !readJSON(w, r, &req) {
