--- a/cmd/flamingoreeld/paths_test.go
+++ b/cmd/flamingoreeld/paths_test.go
@@ -285,6 +285,14 @@
 	return true
 }
 
+// refusedLate returns the number of connections that were reset after their VM had sent
+// a request.
+func (p *targetPaths) refusedLate() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lateRefusals
+}
+
 // accepted returns the VM that opened a connection, and whether it may be used.
 func (p *targetPaths) accepted(c *net.TCPConn) (string, bool) {
 	name := p.owner(c)
