Check the path when no target is usable

An entry VM that lost its path to all targets just after a check had succeeded found out seconds late: 24 of 55 first tries were served at it (the others 205 of 205), in 1 of 7 runs of TestIsolatedEntriesServeCallersAfterResets at a load average of 74. Once all targets wait for a health check no attempt is made, the losses are forgotten after 2 s, and only further losses began a check.

TestIsolationIsFoundWhileAllTargetsAreBlocked failed before (not isolated after 3 s).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -85,6 +85,7 @@
 	left := a.arrived + a.route.LatencyObjective - now
 	i, expected := placement.Choose(now, g.workOf(a.name, a.route), left, g.rng, candidates)
 	if i < 0 {
+		g.notePathIfBlocked(now, endpoints)
 		if failure := a.pausedFailure(view); failure != nil && a.usableAt == 0 {
 			return choice{}, failure
 		}
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -12,6 +12,7 @@
 
 	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/reach"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 )
@@ -49,6 +50,18 @@
 	g.checkPathIfDue(now)
 }
 
+// notePathIfBlocked starts a check of the path if all targets that may run a request
+// wait for a successful health check; the mutex is held.
+func (g *Gateway) notePathIfBlocked(now time.Duration, endpoints []*fleet.Endpoint) {
+	for _, e := range endpoints {
+		if !g.stateOf(e).recovering {
+			return
+		}
+	}
+	g.path.NoneUsable(now)
+	g.checkPathIfDue(now)
+}
+
 // checkPathIfDue starts a check of the path if one is due; the mutex is held. None is
 // needed while targets accept connections: it could not show that the path is broken.
 func (g *Gateway) checkPathIfDue(now time.Duration) {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -358,3 +358,29 @@
 		t.Errorf("the target got %d requests; Retry-After %v", target.count(), r.RetryAfter)
 	}
 }
+
+// Guards against an entry VM that does not find out that it reaches no target because a
+// check succeeded just before its path broke and every target is blocked since, so that
+// no attempt shows anything.
+func TestIsolationIsFoundWhileAllTargetsAreBlocked(t *testing.T) {
+	bed := newRelayBed(t, []string{"r"}, newTarget(t, signed), newTarget(t, signed))
+	g := bed.g
+	g.mu.Lock()
+	now := g.now()
+	g.path.Lost(now, "x")
+	g.path.Lost(now, "y")
+	if !g.path.BeginCheck(now) {
+		t.Fatal("no check begins")
+	}
+	g.path.Checked(now, reach.Result{Tried: 6, Reached: 6})
+	g.mu.Unlock()
+	// The users allow 3 s.
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if r := bed.serve("/read/x", fmt.Sprint("read-", time.Now().UnixNano())); r.Response != nil {
+			r.Response.Close()
+		}
+	}
+	if !g.isolated() {
+		t.Error("the entry VM does not notice that it reaches no target")
+	}
+}
--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -83,6 +83,9 @@
 	// one is running.
 	nextCheck time.Duration
 	checking  bool
+	// stuck reports that a request found no usable target at stuckAt.
+	stuck   bool
+	stuckAt time.Duration
 	// checkBegan is when the last check began.
 	checkBegan time.Duration
 }
@@ -114,6 +117,11 @@
 	}
 }
 
+// NoneUsable records that a request found no target that it may be sent to, because
+// all are waiting for a successful health check. Without attempts nothing else shows
+// whether the path is broken.
+func (p *Path) NoneUsable(now time.Duration) { p.stuck, p.stuckAt = true, now }
+
 // IsLost reports whether a target was lost within the last seconds and has not
 // responded since.
 func (p *Path) IsLost(now time.Duration, target string) bool {
@@ -156,7 +164,8 @@
 // suspect reports whether lost targets may be due to the path.
 func (p *Path) suspect(now time.Duration) bool {
 	lost, answered := p.count(now)
-	return lost >= minLost || lost > 0 && answered == 0
+	stuck := p.stuck && now-p.stuckAt < lossWindow
+	return lost >= minLost || answered == 0 && (lost > 0 || stuck)
 }
 
 // BeginCheck reports whether the path must be checked now and records that the
