--- a/cmd/flamingoreeld/isolation_test.go
+++ b/cmd/flamingoreeld/isolation_test.go
@@ -33,10 +33,10 @@
 	longBody = 600 << 10
 	// maxCuts is how often a cut that something disturbed is repeated.
 	maxCuts = 3
-	// maxPause is the longest time for which a VM that runs does not respond, and
-	// pauseInterval the interval at which it is asked.
-	maxPause      = time.Second
-	pauseInterval = 50 * time.Millisecond
+	// maxStandstill is the longest time for which a VM that runs does not respond, and
+	// standstillInterval the interval at which it is asked.
+	maxStandstill      = time.Second
+	standstillInterval = 50 * time.Millisecond
 	// departureLimit is how long a target may work for a caller who has left.
 	departureLimit = 500 * time.Millisecond
 )
@@ -260,7 +260,7 @@
 		disturbance = fmt.Sprint(n, " connections were reset late")
 	}
 	for range names {
-		if pause := <-pauses; pause > maxPause {
+		if pause := <-pauses; pause > maxStandstill {
 			disturbance = fmt.Sprint("a VM did not respond for ", pause.Round(time.Millisecond))
 		}
 	}
@@ -272,7 +272,7 @@
 // longestPause returns the longest time within which an entry VM did not respond to a
 // question that no target is needed for.
 func (s *isolation) longestPause(entry int, during time.Duration) (longest time.Duration) {
-	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(pauseInterval) {
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(standstillInterval) {
 		asked := time.Now()
 		if resp, err := (&http.Client{Timeout: during}).Get("http://" + s.ready[entry] + "/ready"); err == nil {
 			_ = resp.Body.Close()
