--- a/cmd/flamingoreeld/soak_planned_test.go
+++ b/cmd/flamingoreeld/soak_planned_test.go
@@ -128,7 +128,7 @@
 }
 
 // stopUnderSignals stops a process and goes on sending it signals until it has ended
-// by itself.
+// by itself. Processes of earlier builds would end at such a signal, so they get none.
 func (s *soak) stopUnderSignals(name string, cmd *exec.Cmd, rng *rand.Rand) {
 	s.signal(name, syscall.SIGTERM)
 	exited := make(chan error, 1)
@@ -141,6 +141,9 @@
 			}
 			return
 		case <-time.After(time.Duration(rng.Int64N(int64(soakSignalInterval)))):
+			if !ownBuild() {
+				continue
+			}
 			sig := []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}[rng.IntN(4)]
 			// The process may have ended.
 			_ = cmd.Process.Signal(sig)
