Split the handling of relayed requests and name its peers

serveRelayed decides, builds and serves in one function; the conditions for declining and the state of the request are functions of their own now. The field peers of a gateway meant other entry VMs, the type peers the control VMs that it follows; the field is relayPeers. No change of behaviour.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,10 +126,10 @@
 	// samples holds, by service, the keys and service times of sharded services
 	// observed since the last watch.
 	samples map[string]*registry.Samples
-	// path is the state of this VM's own path to targets, and peers selects the
+	// path is the state of this VM's own path to targets, and relayPeers selects the
 	// entry VMs that relay requests while it is broken.
-	path  *reach.Path
-	peers *reach.Peers
+	path       *reach.Path
+	relayPeers *reach.Peers
 	// linkBudget limits the requests that this VM serves for others.
 	linkBudget *reach.LinkBudget
 	rng        *rand.Rand
@@ -175,7 +175,7 @@
 		routeWork: make(map[string]time.Duration),
 		subsets:   make(map[string]map[string]bool),
 		samples:   make(map[string]*registry.Samples), stopping: newStopping(),
-		path: reach.NewPath(), peers: reach.NewPeers(reach.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}),
+		path: reach.NewPath(), relayPeers: reach.NewPeers(reach.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}),
 		relayLimit: newRelayLimiter(cfg.RelayBytes), linkBudget: reach.NewLinkBudget(cfg.LinkBytes),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -80,7 +80,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	result.Accepted = g.pool.AcceptedWithin(acceptedWindow)
-	result.NoPeer = g.peers.Failing(now)
+	result.NoPeer = g.relayPeers.Failing(now)
 	lost := g.path.LostTargets(now)
 	outcome := "reached"
 	if result.Reached == 0 {
@@ -191,5 +191,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state, _ := g.path.State()
-	return state != reach.Isolated || !g.peers.Failing(g.now())
+	return state != reach.Isolated || !g.relayPeers.Failing(g.now())
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -96,7 +96,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.peers.Choose(g.now(), g.rng, peers, allowed, tried)
+	return g.relayPeers.Choose(g.now(), g.rng, peers, allowed, tried)
 }
 
 // callPeer sends the request to a peer and returns its reply. The kind of the
@@ -109,7 +109,7 @@
 		g.metrics.relayed.WithLabelValues("sent", label).Inc()
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.peers.Ended(g.now(), addr, outcome)
+		g.relayPeers.Ended(g.now(), addr, outcome)
 	}()
 	payload, err := wire.Marshal(a.relayMessage())
 	if err != nil {
@@ -203,8 +203,8 @@
 // reports whether none is left.
 func (g *Gateway) closeIdleLinks(now time.Duration) bool {
 	g.mu.Lock()
-	idle := g.peers.TakeIdle(now)
-	left := g.peers.Known()
+	idle := g.relayPeers.TakeIdle(now)
+	left := g.relayPeers.Known()
 	g.mu.Unlock()
 	for _, addr := range idle {
 		g.links.Disconnect(addr)
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -340,7 +340,7 @@
 	bed.g.closeIdleLinks(bed.g.now() + time.Hour)
 	bed.g.mu.Lock()
 	defer bed.g.mu.Unlock()
-	if bed.g.peers.Known() != 0 {
+	if bed.g.relayPeers.Known() != 0 {
 		t.Error("links to unused peers stay open")
 	}
 }
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -79,6 +79,34 @@
 		// The link's deadline takes into account how long the message was under way.
 		left = min(left, time.Until(deadline))
 	}
+	if declined := g.declineRelayed(now, left, m); declined != nil {
+		return declined
+	}
+	reserved := int64(len(m.Body) + holdBytes)
+	if !g.relayLimit.reserve(reserved) {
+		g.relayLimit.end(0)
+		return &relayReply{Declined: "requests of others take the available memory", Busy: true}
+	}
+	defer func() { g.relayLimit.end(reserved) }()
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	defer context.AfterFunc(g.stopping.serviceCtx, cancel)()
+	a := g.newRelayed(now, left, m)
+	reply := a.relayReply(a.run(ctx), func(n int64) bool {
+		if !g.relayLimit.reserve(n) {
+			return false
+		}
+		reserved += n
+		return true
+	})
+	reply.Target = a.lastTarget
+	g.observeSize(a.service, int64(len(m.Body)+len(reply.Body)))
+	return reply
+}
+
+// declineRelayed returns the reply to a relayed request that this VM does not take,
+// or nil if it takes the request. Then the request counts as begun.
+func (g *Gateway) declineRelayed(now, left time.Duration, m *relayRequest) *relayReply {
 	switch {
 	case g.stopping.declining.Load():
 		return &relayReply{Declined: "this VM is shutting down"}
@@ -93,12 +121,12 @@
 	case !g.relayLimit.begin():
 		return &relayReply{Declined: "this VM serves too many requests of others", Busy: true}
 	}
-	reserved := int64(len(m.Body) + holdBytes)
-	if !g.relayLimit.reserve(reserved) {
-		g.relayLimit.end(0)
-		return &relayReply{Declined: "requests of others take the available memory", Busy: true}
-	}
-	defer func() { g.relayLimit.end(reserved) }()
+	return nil
+}
+
+// newRelayed returns the state of a relayed request with the time left until its
+// deadline.
+func (g *Gateway) newRelayed(now, left time.Duration, m *relayRequest) *activeRequest {
 	a := &activeRequest{
 		g: g, route: &m.Route, name: m.RouteName, service: m.Service, relayed: true,
 		arrived: now + left - m.Left - m.Elapsed, deadline: now + left,
@@ -108,23 +136,10 @@
 		},
 	}
 	a.fingerprint = a.req.fingerprint()
-	if service, ok := g.view.Load().Service(a.service); ok && service.Sharded && m.Key != NoKey {
-		a.sharded = true
-	}
+	service, ok := g.view.Load().Service(a.service)
+	a.sharded = ok && service.Sharded && m.Key != NoKey
 	g.ensureRetryBudget(a.service)
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	defer context.AfterFunc(g.stopping.serviceCtx, cancel)()
-	reply := a.relayReply(a.run(ctx), func(n int64) bool {
-		if !g.relayLimit.reserve(n) {
-			return false
-		}
-		reserved += n
-		return true
-	})
-	reply.Target = a.lastTarget
-	g.observeSize(a.service, int64(len(m.Body)+len(reply.Body)))
-	return reply
+	return a
 }
 
 // admitRelayed reports whether this VM's link has capacity for a request of another
