--- a/internal/reach/peers.go
+++ b/internal/reach/peers.go
@@ -97,17 +97,38 @@
 // centre in which several did come after all others, because a data centre is often
 // cut off as a whole.
 func (p *Peers) Choose(now time.Duration, rng *rand.Rand, peers []Peer, allowed func(Peer) bool, tried []string) (Peer, bool) {
+	candidates := p.candidates(now, peers, allowed, tried)
+	if len(candidates) == 0 {
+		return Peer{}, false
+	}
+	best := p.leastLoaded(rng, nearest(candidates))
+	s := p.states[best.Addr]
+	if s == nil {
+		s = &peerState{window: initialWindow}
+		p.states[best.Addr] = s
+	}
+	s.inFlight++
+	s.lastUsed = now
+	return best, true
+}
+
+// candidate is a peer that may relay a request.
+type candidate struct {
+	Peer
+	// class orders the candidates, nearest first; hash orders those of one class
+	// differently for each entry VM.
+	class int
+	hash  uint64
+}
+
+// candidates returns the usable peers that may get the request.
+func (p *Peers) candidates(now time.Duration, peers []Peer, allowed func(Peer) bool, tried []string) []candidate {
 	refused := make(map[string]int)
 	for _, peer := range peers {
 		if p.refusals(peer.Addr) > 0 {
 			refused[peer.DataCentre]++
 		}
 	}
-	type candidate struct {
-		Peer
-		class int
-		hash  uint64
-	}
 	var candidates []candidate
 	usable := 0
 	for _, peer := range peers {
@@ -128,30 +149,30 @@
 	if usable == 0 {
 		p.notHandled(now)
 	}
-	if len(candidates) == 0 {
-		return Peer{}, false
-	}
+	return candidates
+}
+
+// nearest returns the preferred candidates of the lowest class.
+func nearest(candidates []candidate) []candidate {
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Addr, b.Addr))
 	})
-	near := 1
-	for near < min(len(candidates), preferredPeers) && candidates[near].class == candidates[0].class {
-		near++
+	n := 1
+	for n < min(len(candidates), preferredPeers) && candidates[n].class == candidates[0].class {
+		n++
 	}
-	best := candidates[rng.IntN(near)].Peer
-	for _, c := range candidates[:near] {
+	return candidates[:n]
+}
+
+// leastLoaded returns a candidate with the fewest requests in progress.
+func (p *Peers) leastLoaded(rng *rand.Rand, candidates []candidate) Peer {
+	best := candidates[rng.IntN(len(candidates))].Peer
+	for _, c := range candidates {
 		if p.inFlight(c.Addr) < p.inFlight(best.Addr) {
 			best = c.Peer
 		}
 	}
-	s := p.states[best.Addr]
-	if s == nil {
-		s = &peerState{window: initialWindow}
-		p.states[best.Addr] = s
-	}
-	s.inFlight++
-	s.lastUsed = now
-	return best, true
+	return best
 }
 
 // suspectRefused is the number of peers of a data centre whose last response was a
