--- a/cmd/flamingoreeld/announcing_test.go
+++ b/cmd/flamingoreeld/announcing_test.go
@@ -67,13 +67,22 @@
 	return entry
 }
 
-// announce sets the headers of a response and reports whether it refuses the request
-// with a pause.
-func (a *announcer) announce(w http.ResponseWriter, r *http.Request) (refused bool) {
+// senderOf returns the entry VM that sent a request to the target, "" if it is not
+// known. It is not the one that its caller chose if that one had the request relayed.
+func (p *platformTarget) senderOf(r *http.Request) string {
+	if p.paths == nil {
+		return entryOf(r)
+	}
+	return strings.Replace(p.paths.sender(r.RemoteAddr, p.listener.Addr().String()), "entry-", "e", 1)
+}
+
+// announce sets the headers of a response to a request of an entry VM and reports
+// whether it refuses the request with a pause.
+func (a *announcer) announce(w http.ResponseWriter, sender string) (refused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	told := a.arrived(entryOf(r), now)
+	told := a.arrived(sender, now)
 	if a.leaving {
 		w.Header().Set("Server-Leaving", "1")
 		w.Header().Set(headerLife, strconv.Itoa(a.life))
--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -117,7 +117,7 @@
 		"service": p.service, "address": address, "zone": p.zone, "version": "v1", "slots": 4,
 		"state": p.state, "cold_left": "0ms", "seq_no": p.seq, "born": p.startMs, "holds": held, "released": p.released,
 	})
-	releasedSent := len(p.released)
+	releasedSent, start := len(p.released), p.startMs
 	p.mu.Unlock()
 	if err != nil {
 		p.t.Error(err)
@@ -127,15 +127,16 @@
 	for _, control := range p.controls {
 		status, response := callControl(control, "instances.heartbeat", p.id, body)
 		if status == http.StatusOK {
-			p.applyResponse(sent, response, releasedSent)
+			p.applyResponse(sent, start, response, releasedSent)
 			return
 		}
 	}
 }
 
-// applyResponse applies the response to a heartbeat that was sent at a time and
-// reported the first releasedSent released rows.
-func (p *platformTarget) applyResponse(sent time.Time, data []byte, releasedSent int) {
+// applyResponse applies the response to a heartbeat that was sent at a time by the
+// given start and reported the first releasedSent released rows. A later start never
+// receives it.
+func (p *platformTarget) applyResponse(sent time.Time, start int64, data []byte, releasedSent int) {
 	var response struct {
 		Holds    *[][]any `json:"holds"`
 		HoldTime string   `json:"hold_time"`
@@ -146,6 +147,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.startMs != start {
+		return
+	}
 	p.released = p.released[releasedSent:]
 	if response.Holds == nil {
 		return
@@ -206,7 +210,7 @@
 	if err != nil {
 		return
 	}
-	if p.announcer.announce(w, r) {
+	if p.announcer.announce(w, p.senderOf(r)) {
 		return
 	}
 	p.execute(r, id)
