Heed the leave of a target that a relayed response announces

The entry VM was isolated: the response came through a peer, and only the peer recorded the announcement. Back on its own path, the entry VM sent to the target.

A reply now names the start of the target that made the response, and the isolated entry VM records the leave too. TestRelayedAnnouncementOfALeaveCounts failed before. A pause is meant for the peer and stays there.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/reach"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 	"github.com/flamingoreel/flamingoreel/internal/wire"
@@ -177,7 +178,9 @@
 // relayedResult returns the result of a request that a peer handled.
 func (a *activeRequest) relayedResult(r *relayReply) Result {
 	if r.Kind == "" {
-		return Result{Response: &upstream.Response{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length}}
+		resp := &upstream.Response{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length}
+		a.g.noteRelayedLeave(r.Answered, resp)
+		return Result{Response: resp}
 	}
 	result := a.failureResult(&errkind.Error{Kind: r.Kind, Message: r.Message})
 	if result.RetryAfter > 0 && r.RetryAfter > 0 {
@@ -186,6 +189,19 @@
 	return result
 }
 
+// noteRelayedLeave records that the target of a relayed response is leaving if the
+// response says so. A pause is meant for the peer, which has recorded it.
+func (g *Gateway) noteRelayedLeave(target fleet.Incarnation, resp *upstream.Response) {
+	e, ok := g.view.Load().Endpoint(target.ID)
+	if !ok || e.Incarnation != target {
+		return
+	}
+	g.mu.Lock()
+	state := g.stateOf(e)
+	g.mu.Unlock()
+	g.updateAvailability(choice{e, state}, ResponseInfo{Leaving: g.cfg.Dialect.Read(resp).Leaving})
+}
+
 // label returns the value of the metrics label outcome.
 func (r *relayReply) label() string {
 	switch {
--- a/internal/gateway/relay_messages.go
+++ b/internal/gateway/relay_messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
 	"github.com/flamingoreel/flamingoreel/internal/reach"
 )
@@ -55,8 +56,10 @@
 	Header http.Header `msgpack:"h,omitempty"`
 	Body   []byte      `msgpack:"b,omitempty"`
 	Length int64       `msgpack:"l,omitempty"`
-	// Target is the ID of the target that the request was last sent to.
-	Target string `msgpack:"t,omitempty"`
+	// Target is the ID of the target that the request was last sent to, Answered the
+	// target that made the response.
+	Target   string            `msgpack:"t,omitempty"`
+	Answered fleet.Incarnation `msgpack:"w"`
 }
 
 // valid reports whether the reply is a refusal, an error or a final response.
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -384,3 +384,23 @@
 		t.Error("the entry VM does not notice that it reaches no target")
 	}
 }
+
+// Guards against requests to a leaving target from an entry VM that passed on the
+// target's announcement with a relayed response.
+func TestRelayedAnnouncementOfALeaveCounts(t *testing.T) {
+	target := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Leaving", "1")
+		signed(w, r)
+	})
+	bed := newRelayBed(t, []string{"r"}, target)
+	bed.isolateNow()
+	if r := bed.serve("/post/x", "1"); r.Err != nil || r.Response.Header.Get("X-Leaving") == "" {
+		t.Fatalf("got %+v, want the response of the leaving target", r)
+	}
+	e, _ := bed.g.view.Load().Endpoint("t0")
+	bed.g.mu.Lock()
+	defer bed.g.mu.Unlock()
+	if !bed.g.stateOf(e).Leaving() {
+		t.Error("the entry VM does not know that the target is leaving")
+	}
+}
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -99,7 +99,7 @@
 		reserved += n
 		return true
 	})
-	reply.Target = a.lastTarget
+	reply.Target, reply.Answered = a.lastTarget, a.answered
 	g.observeSize(a.service, int64(len(m.Body)+len(reply.Body)))
 	return reply
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -82,6 +82,8 @@
 	returnsAt      time.Duration
 	failedResponse *upstream.Response
 	lastTarget     string
+	// answered is the target whose response goes to the caller.
+	answered fleet.Incarnation
 	// relayed reports that the request comes from another entry VM, and peer is the
 	// entry VM that relayed it for this one.
 	relayed bool
@@ -236,6 +238,7 @@
 		}
 		res := a.sendHedged(ctx, c)
 		if a.isFinal(res) {
+			a.answered = res.choice.endpoint.Incarnation
 			return Result{Response: res.resp}
 		}
 		failure = a.recordFailure(res)
@@ -264,7 +267,7 @@
 	case res.failure == nil:
 		a.mayHaveRun = true
 		if res.resp.Rest == nil && a.route.Kind.Idempotent() {
-			a.failedResponse = res.resp
+			a.failedResponse, a.answered = res.resp, res.choice.endpoint.Incarnation
 		}
 		res.resp.Close()
 		return errkind.New(errkind.TargetLost, "target %s failed with status %d", res.choice.endpoint.ID, res.resp.Status)
