Log and count what becomes of crash suspicions

One line each for a crash check, a suspicion that other entries report and a suspicion that is cleared, with the parts of the fingerprint; two counters.

--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -114,16 +114,17 @@
 
 // Clear records that a request completed without a crash of its target: alone, or
 // at all if the targets are shared. It removes the ambiguous crashes of the
-// fingerprint.
-func (c *Crashes) Clear(fingerprint uint64) {
+// fingerprint and reports whether there was a suspicion.
+func (c *Crashes) Clear(fingerprint uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, ok := c.records[fingerprint]; !ok {
-		return
+		return false
 	}
 	s := Suspicion{Fingerprint: fingerprint, Cleared: true}
 	c.apply(0, s)
 	c.enqueue(s)
+	return true
 }
 
 // recordLocal applies a suspicion of this VM and queues it for the other VMs if it
@@ -233,13 +234,18 @@
 	return nil
 }
 
-// Merge applies the suspicions of another VM. Drain does not return them.
-func (c *Crashes) Merge(now time.Duration, suspicions []Suspicion) {
+// Merge applies the suspicions of another VM and returns those that were new. Drain
+// does not return them.
+func (c *Crashes) Merge(now time.Duration, suspicions []Suspicion) []Suspicion {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var applied []Suspicion
 	for _, s := range suspicions {
-		c.apply(now, s)
+		if c.apply(now, s) {
+			applied = append(applied, s)
+		}
 	}
+	return applied
 }
 
 // Drain returns the suspicions that this VM recorded since the last call.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -59,6 +60,28 @@
 	return h.Sum64()
 }
 
+// crashCheck is the outcome of a check whether a target crashed, and the value of the
+// metrics label.
+type crashCheck string
+
+// Outcomes of crash checks.
+const (
+	crashConfirmed crashCheck = "crashed"
+	// crashAccepted means that the target accepted a connection, and crashNoReaction
+	// that it neither accepted nor refused one.
+	crashAccepted   crashCheck = "accepted"
+	crashNoReaction crashCheck = "no_reaction"
+	// crashPathInDoubt means that this VM reached no other target either.
+	crashPathInDoubt crashCheck = "path_in_doubt"
+	// crashNotChecked means that too many checks were in progress.
+	crashNotChecked crashCheck = "not_checked"
+)
+
+// crashFields returns the log fields of a suspected request.
+func crashFields(fingerprint uint64) log.Fields {
+	return log.Fields{"fingerprint": strconv.FormatUint(fingerprint, 16)}
+}
+
 // updateCrashes updates the suspicions after an attempt. A response that shows
 // that the target ran the request clears it; after a lost connection, a check
 // finds out whether the target crashed.
@@ -66,43 +89,74 @@
 	g := a.g
 	switch {
 	case res.failure == nil && !res.info.NotRun:
-		g.crashes.Clear(a.fingerprint)
+		if g.crashes.Clear(a.fingerprint) {
+			g.metrics.suspicions.WithLabelValues("cleared").Inc()
+			g.cfg.Logger.WithFields(crashFields(a.fingerprint)).WithFields(log.Fields{
+				"request": a.req.ID, "target": res.choice.endpoint.ID, "status": res.resp.Status,
+			}).Info("crash suspicions cleared")
+		}
 	case res.failure != nil && res.failure.Kind == errkind.TargetLost && !errors.Is(res.failure, upstream.ErrUnbounded):
 		select {
 		case g.crashes.checkSlots <- struct{}{}:
 			g.start(func(ctx context.Context) {
 				defer func() { <-g.crashes.checkSlots }()
-				g.checkCrash(ctx, a.fingerprint, res.choice)
+				a.recordCrashCheck(res, g.checkCrash(ctx, a.fingerprint, res.choice))
 			})
 		default:
+			a.recordCrashCheck(res, crashNotChecked)
 		}
 	}
 }
 
+// recordCrashCheck logs and counts the outcome of a check after a lost attempt.
+func (a *activeRequest) recordCrashCheck(res attemptResult, outcome crashCheck) {
+	a.g.metrics.crashChecks.WithLabelValues(string(outcome)).Inc()
+	a.g.cfg.Logger.WithFields(crashFields(a.fingerprint)).WithFields(log.Fields{
+		"request": a.req.ID, "caller": a.req.Caller, "uri": a.req.URI, "body": len(a.req.Body),
+		"target": res.choice.endpoint.ID, "born": res.choice.endpoint.StartMs, "cause": res.failure.Error(), "outcome": outcome,
+	}).Info("crash check")
+}
+
 // checkCrash adds a suspicion if the target that lost the request refuses
 // connections.
-func (g *Gateway) checkCrash(ctx context.Context, fingerprint uint64, c choice) {
+func (g *Gateway) checkCrash(ctx context.Context, fingerprint uint64, c choice) crashCheck {
 	if !clock.Sleep(ctx, crashCheckDelay) {
-		return
+		return crashNotChecked
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", c.endpoint.Address)
 	if err == nil {
 		_ = conn.Close()
-		return
+		return crashAccepted
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) || !g.reachesOthers(ctx, c) {
-		return
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return crashNoReaction
+	}
+	if !g.reachesOthers(ctx, c) {
+		return crashPathInDoubt
 	}
 	now := g.now()
 	g.crashes.RecordAmbiguousCrash(now, fingerprint, c.endpoint.ID, uint64(c.endpoint.StartMs))
+	g.metrics.suspicions.WithLabelValues("recorded").Inc()
 	if g.crashes.Refused(now, fingerprint) {
-		g.cfg.Logger.WithFields(log.Fields{"fingerprint": fingerprint, "target": c.endpoint.ID}).Warn("request crashes targets")
+		g.cfg.Logger.WithFields(crashFields(fingerprint)).WithField("target", c.endpoint.ID).Warn("request crashes targets")
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.blockUntilHealthy(c)
+	return crashConfirmed
+}
+
+// mergeSuspicions applies the suspicions that a control VM passes on.
+func (g *Gateway) mergeSuspicions(received []admission.Suspicion) {
+	now := g.now()
+	for _, s := range g.crashes.Merge(now, received) {
+		g.metrics.suspicions.WithLabelValues("received").Inc()
+		g.cfg.Logger.WithFields(crashFields(s.Fingerprint)).WithFields(log.Fields{
+			"target": s.Target, "born": s.Incarnation, "cleared": s.Cleared, "refused": g.crashes.Refused(now, s.Fingerprint),
+		}).Info("crash suspicion received")
+	}
 }
 
 // reachesOthers reports whether this VM reaches other targets than the lost one:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -108,7 +108,7 @@
 		w.g.cfg.Logger.WithField("control", r.from).WithError(r.err).Debug("watch failed")
 		return false
 	}
-	w.g.crashes.Merge(w.g.now(), answer.Suspicions)
+	w.g.mergeSuspicions(answer.Suspicions)
 	w.g.crashes.received = answer.Received
 	if w.usable(r.from, answer, w.g.now()) {
 		w.g.applyAnswer(answer, r.sentAt)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,11 @@
 	// relayed counts requests relayed for this VM (sent) and by it (received).
 	relayed    *prometheus.CounterVec
 	pathChecks *prometheus.CounterVec
+	// crashChecks counts the checks whether a target crashed by outcome, and
+	// suspicions the crash suspicions that were recorded by this VM, received from
+	// others or cleared by it.
+	crashChecks *prometheus.CounterVec
+	suspicions  *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -51,8 +56,14 @@
 	m.pathChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "flamingoreel_gateway_path_checks_total", Help: "Checks whether this VM reaches targets by outcome.",
 	}, []string{"outcome"})
+	m.crashChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "flamingoreel_gateway_crash_checks_total", Help: "Checks whether a target that lost a request crashed, by outcome.",
+	}, []string{"outcome"})
+	m.suspicions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "flamingoreel_gateway_crash_suspicions_total", Help: "Suspicions that a request crashed a target: recorded by this VM, received from others, or cleared by it.",
+	}, []string{"event"})
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.sends, m.unavailable, m.probes, m.faults, m.relayed, m.pathChecks)
+		registry.MustRegister(m.requests, m.latency, m.sends, m.unavailable, m.probes, m.faults, m.relayed, m.pathChecks, m.crashChecks, m.suspicions)
 	}
 	return m
 }
