Decide later whether a lost request crashed its target

Callers saw: a request that crashes its targets was sent on for ever once its copies crashed many targets at the same moment; each crash cut off what else ran there.

Cause: a broken connection has many causes, and the entry decided at once and for good, from one look within 350 ms. If the few other targets that it tried were down too, it took the crash for a broken path of its own; if two checks were in progress, it made none; in both cases the loss was forgotten. The more a request crashed, the less was known of it.

Change: a loss stays undecided (admission.Suspects) until there is evidence: the target refuses connections while others are reached (checked again until decided, one check per process instead of two in all), a control VM reports another process with the target's ID or address, another entry reports the crash, or the process responds to a later request. A read that completes all the time is not suspected at all, so that the loss of many targets refuses no sound request. Of a suspected request one copy at a time is sent, to one target. An error response no longer clears suspicions: it doesn't show that the request is sound.

Ruled out: dropping the check of the path. An entry that is cut off would then take sound requests for crashers (TestIsolationIsNotTakenForCrashes, which now also follows the losses until the targets are known to live).

--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -212,6 +213,14 @@
 	return slices.ContainsFunc(record.crashes, func(k crash) bool { return k.certain })
 }
 
+// CountRefused returns the number of fingerprints that are refused.
+func (c *Crashes) CountRefused(now time.Duration) int {
+	c.mu.Lock()
+	fingerprints := slices.Collect(maps.Keys(c.records))
+	c.mu.Unlock()
+	return len(slices.DeleteFunc(fingerprints, func(f uint64) bool { return !c.Refused(now, f) }))
+}
+
 // MustRunAlone reports whether the request must run as the only one in flight, because
 // it was in flight during a crash.
 func (c *Crashes) MustRunAlone(now time.Duration, fingerprint uint64) bool {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -94,15 +94,20 @@
 // targets crashed while they ran it.
 func TestAnsweredRequestIsNoLongerSuspected(t *testing.T) {
 	b := newTestbed(t, newTarget(t, signed))
-	fingerprint := (&Request{Caller: "10.0.0.1", Method: http.MethodGet, RouteHost: "h", URI: "/read/x", Body: []byte("x")}).fingerprint()
+	fingerprints := (&Request{Caller: "10.0.0.1", Method: http.MethodGet, RouteHost: "h", URI: "/read/x", Path: "/read/x", Body: []byte("x")}).fingerprints()
 	for i := range uint64(crashesBeforeRefusal - 1) {
-		b.g.crashes.RecordAmbiguousCrash(b.g.now(), fingerprint, "gone", i)
+		gone := admission.Process{Target: "gone", Incarnation: i}
+		b.g.crashes.Lost(b.g.now(), gone, fingerprints)
+		b.g.crashes.Ended(b.g.now(), gone)
+	}
+	if verdict := b.g.crashes.Judge(b.g.now(), fingerprints); verdict != admission.Suspected {
+		t.Fatalf("the request is %v before it is answered", verdict)
 	}
 	if r := b.sendBody("1", "10.0.0.1", "x"); r.Err != nil {
 		t.Fatal(r.Err)
 	}
-	if b.g.crashes.MustRunAlone(b.g.now(), fingerprint) {
-		t.Error("the request is still suspected")
+	if verdict := b.g.crashes.Judge(b.g.now(), fingerprints); verdict != admission.Sound {
+		t.Errorf("the answered request is still %v", verdict)
 	}
 }
 
--- a/internal/gateway/crash_wave_test.go
+++ b/internal/gateway/crash_wave_test.go
@@ -90,21 +90,30 @@
 	}}})
 }
 
-// sendCopies sends copies of the crashing request at intervals, and a sound request
-// of the same caller beside them.
-func (s *crashSite) sendCopies(t *testing.T, copies int, interval, length time.Duration) {
+// sendCopies sends copies of the crashing request at intervals: each as request
+// makes it for the number of the round and of the copy.
+func (s *crashSite) sendCopies(copies int, interval, length time.Duration, request func(round, copy int) *Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	var all sync.WaitGroup
 	for round := 0; ctx.Err() == nil; round++ {
 		for i := range copies {
-			all.Go(func() { s.sendBody(fmt.Sprintf("c%d-%d", round, i), "10.0.0.1", crashBody) })
+			all.Go(func() { s.g.Serve(context.Background(), request(round, i)) })
 		}
 		time.Sleep(interval)
 	}
 	all.Wait()
 }
 
+// crashRequest returns a copy of the crashing request.
+func crashRequest(round, copy int) *Request {
+	id := fmt.Sprintf("c%d-%d", round, copy)
+	return &Request{
+		ID: id, Caller: "10.0.0.1", Method: http.MethodGet, URI: "/read/x", Path: "/read/x", Host: "h", RouteHost: "h",
+		Header: http.Header{"X-Id": []string{id}}, Body: []byte(crashBody), HasBody: true, Key: NoKey,
+	}
+}
+
 // lateSends returns how often the crashing request was sent later than
 // stabilityWindow after the third crash.
 func (s *crashSite) lateSends() (late, all int) {
@@ -132,10 +141,35 @@
 		t.Run(fmt.Sprintf("%d targets, %d copies", c.targets, c.copies), func(t *testing.T) {
 			t.Parallel()
 			s := newCrashSite(t, c.targets)
-			s.sendCopies(t, c.copies, c.interval, stabilityWindow+4*time.Second)
+			s.sendCopies(c.copies, c.interval, stabilityWindow+4*time.Second, crashRequest)
 			if late, all := s.lateSends(); late > allowedSends {
 				t.Errorf("%d of %d sends are late, want %d at most", late, all, allowedSends)
 			}
 		})
 	}
 }
+
+// Guards against the refusal of a read that is sent all the time because many targets
+// crashed at once while they ran it.
+func TestPopularRequestOutlivesTheLossOfManyTargets(t *testing.T) {
+	s := newCrashSite(t, 8)
+	read := func(round, copy int) *Request {
+		r := crashRequest(round, copy)
+		r.Body = []byte("sound")
+		return r
+	}
+	for i := range 8 {
+		s.g.Serve(context.Background(), read(0, i))
+	}
+	fingerprints := read(0, 0).fingerprints()
+	for i := range uint64(8) {
+		p := processOf(fleet.Incarnation{ID: fmt.Sprint("t", i), StartMs: 99})
+		s.g.crashes.Lost(s.g.now(), p, fingerprints)
+		s.g.crashes.Ended(s.g.now(), p)
+	}
+	for i := range 8 {
+		if r := s.g.Serve(context.Background(), read(1, i)); r.Err != nil {
+			t.Errorf("got %v, want an answer", r.Err)
+		}
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -159,9 +159,10 @@
 	g := w.g
 	replies := make(chan reply, 1)
 	r := reply{from: addr, sentAt: g.now()}
+	suspicions := g.crashes.Drain()
 	payload, err := wire.Marshal(&watch.Request{
 		Entry: g.cfg.Addr, Region: g.cfg.Region, DataCentre: g.cfg.DataCentre, Revision: g.view.Load().Revision(), Wait: wait,
-		KnownDigest: w.digest, Samples: g.takeSamples(), Suspicions: g.crashes.Drain(), Received: g.crashes.received,
+		KnownDigest: w.digest, Samples: g.takeSamples(), Suspicions: suspicions, Received: g.crashes.received,
 	})
 	if err != nil {
 		r.err = err
@@ -190,6 +191,7 @@
 	if answer.Delta.Empty() || answer.Delta.From > old.Revision() || answer.Delta.To <= old.Revision() {
 		return
 	}
+	g.noteReplaced(old, answer.Delta)
 	next := old.With(answer.Delta, g.now())
 	g.logChanges(answer.Delta)
 	g.mu.Lock()
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/placement"
 )
 
 // hedgeAfter returns how long a request waits for its first target before it is
 // also sent to a second one; forever if it may not be.
 func (a *activeRequest) hedgeAfter(first choice) time.Duration {
-	if a.sharded || !a.route.Kind.Idempotent() || a.attempts >= a.route.MaxAttempts {
+	if a.sharded || a.verdict != admission.Sound || !a.route.Kind.Idempotent() || a.attempts >= a.route.MaxAttempts {
 		return forever
 	}
 	a.g.mu.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -81,5 +81,9 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		return float64(g.path.AnsweredTargets(g.now()))
-	}))
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "flamingoreel_gateway_undecided_losses", Help: "Lost requests of which it is not known yet whether their target crashed.",
+	}, func() float64 { return float64(g.crashes.CountUndecided(g.now())) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "flamingoreel_gateway_known_crashers", Help: "Fingerprints of requests that are refused because they crash targets.",
+	}, func() float64 { return float64(g.crashes.CountRefused(g.now())) }))
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
@@ -306,15 +307,27 @@
 // entry VM was cut off from them.
 func TestIsolationIsNotTakenForCrashes(t *testing.T) {
 	bed := newRelayBed(t, nil, newTarget(t, signed), newTarget(t, signed), newTarget(t, signed))
+	lostAt := bed.g.now()
 	for _, e := range bed.g.view.Load().AllEndpoints() {
 		bed.g.mu.Lock()
 		c := choice{e, bed.g.stateOf(e)}
 		bed.g.mu.Unlock()
-		bed.g.checkCrash(context.Background(), 7, c)
+		bed.g.crashes.Lost(lostAt, processOf(e.Incarnation), []uint64{7})
+		for range 3 {
+			if outcome := bed.g.probeCrash(context.Background(), c, lostAt); outcome != crashPathInDoubt {
+				t.Errorf("a check of %s says %s", e.ID, outcome)
+			}
+		}
 	}
 	if bed.g.crashes.Refused(bed.g.now(), 7) || len(bed.g.crashes.Drain()) != 0 {
 		t.Error("a cut-off entry VM reports a request as one that crashes targets")
 	}
+	for _, e := range bed.g.view.Load().AllEndpoints() {
+		bed.g.crashes.Alive(processOf(e.Incarnation), bed.g.now())
+	}
+	if verdict := bed.g.crashes.Judge(bed.g.now(), []uint64{7}); verdict != admission.Sound {
+		t.Errorf("the request is %v although the targets live on", verdict)
+	}
 }
 
 // Guards against an entry VM that stays on relayed requests after its path works
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -135,7 +135,7 @@
 			Caller: m.Caller, Header: m.Header, Body: m.Body, HasBody: m.HasBody, Key: m.Key, CallerTimeout: left,
 		},
 	}
-	a.fingerprint = a.req.fingerprint()
+	a.fingerprints = a.req.fingerprints()
 	service, ok := g.view.Load().Service(a.service)
 	a.sharded = ok && service.Sharded && m.Key != NoKey
 	g.ensureRetryBudget(a.service)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -32,7 +32,7 @@
 	}
 	res.undialed = failure != nil && failure.Kind == errkind.TargetUnreachable && ctx.Err() != nil && g.now()-sent < acceptTime
 	g.updateTarget(a, res, sent)
-	a.updateCrashes(res)
+	a.updateCrashes(res, sent)
 	return res
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingoreel/flamingoreel/internal/admission"
 	"github.com/flamingoreel/flamingoreel/internal/callers"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
@@ -55,8 +56,10 @@
 	// sharded reports that only the holder of the key may run the request.
 	sharded bool
 	arrived time.Duration
-	// fingerprint identifies the request among those that crash targets.
-	fingerprint uint64
+	// fingerprints identify the request among those that crash targets, and verdict
+	// is what was known of them when the request arrived.
+	fingerprints []uint64
+	verdict      admission.Verdict
 	// deadline is when the caller's wait or the route's timeout ends.
 	deadline time.Duration
 	// attempts counts the attempts towards the route's MaxAttempts.
@@ -134,12 +137,15 @@
 		}
 		return g.refuseBeforeServing(req, errkind.New(errkind.UnknownRoute, "no route for %s%s", req.RouteHost, req.Path))
 	}
-	a := &activeRequest{g: g, req: req, route: item.Route, name: item.Name, arrived: now, fingerprint: req.fingerprint()}
-	if g.crashes.Refused(now, a.fingerprint) {
-		result := g.refuseBeforeServing(req, errkind.New(errkind.KnownCrasher, "this request crashed several targets"))
-		result.RetryAfter = req.EffectiveTimeout() // An earlier retry would be refused too.
+	a := &activeRequest{g: g, req: req, route: item.Route, name: item.Name, arrived: now, fingerprints: req.fingerprints()}
+	if failure := a.judgeCrasher(now); failure != nil {
+		result := g.refuseBeforeServing(req, failure)
+		if failure.Kind == errkind.KnownCrasher {
+			result.RetryAfter = req.EffectiveTimeout() // An earlier retry would be refused too.
+		}
 		return result
 	}
+	defer g.crashes.End(a.fingerprints)
 	wait := req.EffectiveTimeout()
 	a.deadline = now + min(wait, item.Route.Timeout)
 	a.service = g.pickService(item)
@@ -287,7 +293,7 @@
 	if a.attempts >= a.route.MaxAttempts && !refused {
 		return false
 	}
-	if failure.Outcome() != errkind.NotRun && !a.route.Kind.Idempotent() {
+	if failure.Outcome() != errkind.NotRun && !a.route.Kind.Idempotent() || a.mayCrashAnother(failure) {
 		return false
 	}
 	a.g.mu.Lock()
