Send crash suspicions again if a watch fails

An entry took its new suspicions out of the queue for a watch request; if the call failed, nobody got them. Now they return to the queue. The test and the property with lost messages need Requeue, which did not exist before.

--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -257,6 +257,14 @@
 	return applied
 }
 
+// Requeue returns suspicions to the queue that Drain took out and that could not be
+// sent.
+func (c *Crashes) Requeue(suspicions []Suspicion) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = append(slices.Clone(suspicions[max(0, len(suspicions)+len(c.pending)-maxPending):]), c.pending...)
+}
+
 // Drain returns the suspicions that this VM recorded since the last call.
 func (c *Crashes) Drain() []Suspicion {
 	c.mu.Lock()
--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -188,9 +188,14 @@
 	s.running = left
 }
 
-// exchange sends the suspicions of an entry VM to the others.
+// exchange sends the suspicions of an entry VM to the others, or keeps them if the
+// message is lost.
 func (s *crashSim) exchange(e *simEntry) {
 	sent := e.Drain()
+	if s.rng.IntN(10) == 0 {
+		e.Requeue(sent)
+		return
+	}
 	for _, other := range s.entries {
 		if other != e && len(sent) > 0 {
 			s.after(simLink+s.upTo(simWatch+simLink), func() { other.Receive(s.now, sent) })
@@ -230,8 +235,8 @@
 }
 
 // Guards against a crashing request that is sent on because its copies
-// crash many targets at once, or because the path of an
-// entry VM is lost; and against the refusal of sound requests that were in flight
+// crash many targets at once, or because messages or the path of
+// an entry VM are lost; and against the refusal of sound requests that were in flight
 // at crashed targets or on an entry VM that was cut off.
 func TestSuspectsStopCrashersAndSpareOthers(t *testing.T) {
 	seed, err := strconv.ParseInt(cmp.Or(os.Getenv("FLAMINGOREEL_TEST_SEED"), "1"), 10, 64)
@@ -294,3 +299,15 @@
 		t.Error("a suspected request does not run, or not alone")
 	}
 }
+
+// Guards against suspicions that are lost with the message that should carry them.
+func TestUnsentSuspicionsAreKept(t *testing.T) {
+	s := NewSuspects()
+	s.Lost(0, Process{"t", 1}, []uint64{1, 2})
+	s.Ended(0, Process{"t", 1})
+	sent := s.Drain()
+	s.Requeue(sent)
+	if again := s.Drain(); len(sent) != 2 || len(again) != 2 {
+		t.Errorf("%v became %v", sent, again)
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -173,7 +173,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		r.data, r.err = g.links.Call(ctx, addr, watch.MethodWatch, payload)
+		if r.data, r.err = g.links.Call(ctx, addr, watch.MethodWatch, payload); r.err != nil {
+			g.crashes.Requeue(suspicions)
+		}
 		replies <- r
 	}()
 	return replies
