Refuse known crashers that other entries relay

An entry that relays for an isolated one did not ask whether a request is known to crash targets. The test got the target's answer before and a refusal after.

--- a/internal/gateway/crash_wave_test.go
+++ b/internal/gateway/crash_wave_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 )
 
@@ -173,3 +174,23 @@
 		}
 	}
 }
+
+// Guards against a crashing request that an entry VM sends for another one that does
+// not know it yet.
+func TestRelayedCrashingRequestIsRefused(t *testing.T) {
+	b := newTestbed(t, newTarget(t, signed))
+	req := crashRequest(0, 0)
+	for i := range uint64(crashesBeforeRefusal) {
+		gone := processOf(fleet.Incarnation{ID: "gone", StartMs: int64(i)})
+		b.g.crashes.Lost(b.g.now(), gone, req.fingerprints())
+		b.g.crashes.Ended(b.g.now(), gone)
+	}
+	item, _ := b.g.view.Load().Match("h", "/read/x")
+	reply := b.g.serveRelayed(context.Background(), &relayRequest{
+		ID: req.ID, Method: req.Method, URI: req.URI, Path: req.Path, Host: req.Host, RouteHost: req.RouteHost, Caller: req.Caller,
+		Header: req.Header, Body: req.Body, HasBody: true, Key: NoKey, RouteName: item.Name, Route: *item.Route, Service: "s", Left: time.Second,
+	})
+	if reply.Kind != errkind.KnownCrasher {
+		t.Errorf("got %+v, want a refusal", reply)
+	}
+}
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -92,6 +92,10 @@
 	defer cancel()
 	defer context.AfterFunc(g.stopping.serviceCtx, cancel)()
 	a := g.newRelayed(now, left, m)
+	if failure := a.judgeCrasher(now); failure != nil {
+		return &relayReply{Kind: failure.Kind, Message: failure.Message}
+	}
+	defer g.crashes.End(a.fingerprints)
 	reply := a.relayReply(a.run(ctx), func(n int64) bool {
 		if !g.relayLimit.reserve(n) {
 			return false
