Know a crashing request under other addresses and queries

Callers saw: one read of a key crashed each holder of the key in turn, one every four seconds, and no entry refused it.

Cause: its fingerprint included the address of the caller and the query. In the record of the incident the copies came to entries of a different zone each time, where the platform's connections have other source addresses, so each entry counted one or two crashes and their suspicions did not add up. Class of fault: an identity that includes what is not promised to stay the same.

Change: a request has up to four fingerprints, with and without address and query.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -80,16 +81,25 @@
 	return admission.Process{Target: in.ID, Incarnation: uint64(in.StartMs)}
 }
 
-// fingerprints identify the request by its caller, method, host, URI and body.
+// fingerprints identify the request among those that crash targets. The first one
+// includes all that stays the same when a caller repeats a request. The others leave
+// out the query, the caller or both, because callers may change the query and reach
+// the entry VMs from several addresses.
 func (r *Request) fingerprints() []uint64 {
-	h := xxhash.New()
-	for _, part := range []string{r.Caller, r.Method, r.RouteHost, r.URI} {
-		// Writing to a hash does not fail.
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
+	body := xxhash.Sum64(r.Body)
+	var all []uint64
+	for _, parts := range [][2]string{{r.Caller, r.URI}, {r.Caller, r.Path}, {"", r.URI}, {"", r.Path}} {
+		h := xxhash.New()
+		for _, part := range []string{parts[0], r.Method, r.RouteHost, parts[1], strconv.FormatUint(body, 16)} {
+			// Writing to a hash does not fail.
+			_, _ = h.WriteString(part)
+			_, _ = h.Write([]byte{0})
+		}
+		if sum := h.Sum64(); !slices.Contains(all, sum) {
+			all = append(all, sum)
+		}
 	}
-	_, _ = h.Write(r.Body)
-	return []uint64{h.Sum64()}
+	return all
 }
 
 // crashCheck is the outcome of a check whether a target crashed, and the value of the
--- a/internal/gateway/crash_wave_test.go
+++ b/internal/gateway/crash_wave_test.go
@@ -150,6 +150,28 @@
 	}
 }
 
+// Guards against a crashing request that is sent on for ever because the caller
+// reaches the entry VMs from several addresses or changes the query.
+func TestCrashingRequestIsKnownUnderOtherAddressesAndQueries(t *testing.T) {
+	for name, change := range map[string]func(r *Request, n int){
+		"addresses": func(r *Request, n int) { r.Caller = fmt.Sprint("10.0.0.", n) },
+		"queries":   func(r *Request, n int) { r.URI += fmt.Sprint("?page=", n) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCrashSite(t, 8)
+			s.sendCopies(1, 200*time.Millisecond, stabilityWindow+4*time.Second, func(round, copy int) *Request {
+				r := crashRequest(round, copy)
+				change(r, round)
+				return r
+			})
+			if late, all := s.lateSends(); late > allowedSends {
+				t.Errorf("%d of %d sends are late, want %d at most", late, all, allowedSends)
+			}
+		})
+	}
+}
+
 // Guards against the refusal of a read that is sent all the time because many targets
 // crashed at once while they ran it.
 func TestPopularRequestOutlivesTheLossOfManyTargets(t *testing.T) {
