Send a target no more requests than it says it takes

Callers saw nothing yet; targets in need got many times the requests that they had named as their limit (3.1 a second: 61 in 4 s, 24 allowed), which takes them down for everybody.

Cause: nothing read the header Server-Limit.

Change: the limit belongs to an incarnation and follows its responses, refusals, late and relayed ones too. It holds for all entries together, and an entry knows neither what others send nor whether they have been told, so each takes an equal part of 0.9 of the rate; if there are many entries, only rate + 3 of them get a part, those in the target's region first. The parts start staggered. What a limited target can't take goes to others; a request for a key that it alone holds waits for the next free time if the response would still be in time (less urgent ones half as long), and is refused at once otherwise, with the time at which the target is open. An entry without a part learns of the end of the limit by rare health checks.

Ruled out: each entry keeping the whole rate (nine times too much), and keeping parts by demand, which need reports to control and answers from it; the parts must hold while control can't be reached.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -22,6 +22,7 @@
 	available unavailability = ""
 	leaving   unavailability = "leaving"
 	paused    unavailability = "paused"
+	limited   unavailability = "limited"
 )
 
 // handoverTime is the least time from the first response of a holder that is
@@ -47,13 +48,14 @@
 // updateAvailability records what a response of the target says about further
 // requests.
 func (g *Gateway) updateAvailability(c choice, info ResponseInfo) {
-	if !info.Leaving && info.Pause <= 0 {
-		return
-	}
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !info.Leaving && info.Pause <= 0 && !info.Limit.Named && !c.state.throttle.Limited() {
+		return
+	}
 	entry := g.cfg.Logger.WithFields(log.Fields{"target": c.endpoint.ID, "born": c.endpoint.StartMs, "service": c.endpoint.Service})
+	g.updateLimit(c, info.Limit, entry)
 	if info.Leaving && c.state.Leave(now) {
 		entry.Info("target is leaving")
 	}
@@ -115,20 +117,26 @@
 }
 
 // pausedFailure returns the reason of the refusal if the next attempt of the caller
-// would find no target but paused ones, and nil otherwise. That attempt may go to
+// would find only targets that are paused or take no more requests yet, and nil
+// otherwise. That attempt may go to
 // any target of the service, or to the holder of its key. The mutex is held.
 func (a *activeRequest) pausedFailure(view *fleet.View) *errkind.Error {
 	now := a.g.now()
-	first, anyPaused := forever, false
+	first, reason := forever, available
 	for _, e := range a.nextTargets(view) {
 		t := a.g.stateOf(e)
-		first = min(first, max(t.OpensAt(now, t.InFlight), t.BlockedUntil()))
-		anyPaused = anyPaused || t.Paused(now)
+		first = min(first, max(t.OpensAt(now, t.InFlight), t.BlockedUntil(), a.g.limitOpensAt(view, e, t, now)))
+		switch {
+		case t.Paused(now):
+			reason = paused
+		case t.throttle.Limited() && reason == available:
+			reason = limited
+		}
 	}
-	if !anyPaused || first <= now {
+	if reason == available || first <= now {
 		return nil
 	}
-	a.unavailable, a.returnsAt = paused, first
+	a.unavailable, a.returnsAt = reason, first
 	return errkind.New(errkind.TargetPaused, "the targets of %s accept requests again in %v", a.service, (first - now).Round(time.Millisecond))
 }
 
@@ -217,7 +225,7 @@
 
 // unavailableTargets describes the metric of an availabilityCollector.
 var unavailableTargets = prometheus.NewDesc(
-	"flamingoreel_gateway_unavailable_targets", "Targets that said that they are leaving or that asked for a pause.", []string{"service", "reason"}, nil,
+	"flamingoreel_gateway_unavailable_targets", "Targets that said that they are leaving, asked for a pause or named a limit.", []string{"service", "reason"}, nil,
 )
 
 // Describe implements prometheus.Collector.
@@ -233,7 +241,7 @@
 }
 
 // countUnavailableTargets returns, for each service with targets, how many of them
-// are leaving and how many are paused.
+// are leaving, paused and limited.
 func (g *Gateway) countUnavailableTargets() map[string]map[unavailability]float64 {
 	now := g.now()
 	counts := make(map[string]map[unavailability]float64)
@@ -241,7 +249,7 @@
 	defer g.mu.Unlock()
 	for _, e := range g.view.Load().AllEndpoints() {
 		if counts[e.Service] == nil {
-			counts[e.Service] = map[unavailability]float64{leaving: 0, paused: 0}
+			counts[e.Service] = map[unavailability]float64{leaving: 0, paused: 0, limited: 0}
 		}
 		switch t := g.targetStates[e.Incarnation]; {
 		case t == nil:
@@ -249,6 +257,8 @@
 			counts[e.Service][leaving]++
 		case t.Paused(now):
 			counts[e.Service][paused]++
+		case t.throttle.Limited():
+			counts[e.Service][limited]++
 		}
 	}
 	return counts
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -69,6 +69,9 @@
 			a.deferTo(t, now)
 			continue
 		}
+		if !a.withinLimit(view, e, t, now) {
+			continue
+		}
 		cold := max(e.ColdUntil, t.coldUntil) > now
 		if until := t.BlockedUntil(); a.sharded && until > now && until < a.deadline {
 			a.usableAt = until
@@ -107,6 +110,7 @@
 	if candidates[i].Cold {
 		choices[i].state.AllowCold(now, g.coldInterval(view, service, choices[i].endpoint))
 	}
+	a.takeLimit(choices[i], now)
 	choices[i].state.Started()
 	choices[i].state.usedSinceCheck = true
 	return choices[i], nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,8 @@
 	Leaving bool
 	// Pause is how long the target wants no requests from this entry VM, or 0.
 	Pause time.Duration
+	// Limit is what the target says about the rate of requests from all entry VMs.
+	Limit placement.Limit
 }
 
 // Config holds the settings of a gateway.
@@ -148,6 +150,14 @@
 type targetState struct {
 	placement.TargetStats
 	placement.Availability
+	// throttle holds the limit that the target named, and followsLimit reports that a
+	// goroutine looks for its end.
+	throttle     placement.Throttle
+	followsLimit bool
+	limitShare   *knownShare
+	// healthNamesLimit reports that the responses to health checks name the limit, so
+	// that one without a limit shows its end.
+	healthNamesLimit bool
 	// coldUntil comes from the target's own health check.
 	coldUntil time.Duration
 	// recovering reports that a goroutine checks the target until it is
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
+	"github.com/flamingoreel/flamingoreel/internal/placement"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 	"github.com/flamingoreel/flamingoreel/internal/watch"
 )
@@ -31,7 +33,9 @@
 
 func (testDialect) Read(r *upstream.Response) ResponseInfo {
 	pause, _ := time.ParseDuration(r.Header.Get("X-Pause"))
+	rate, err := strconv.ParseFloat(r.Header.Get("X-Limit"), 64)
 	return ResponseInfo{
+		Limit:   placement.Limit{Named: err == nil, Rate: rate},
 		Leaving: testLeaving(r), Pause: pause, RequestID: r.Header.Get("X-Id"), FromTarget: r.Header.Get("X-Signed") != "", NotRun: r.Header.Get("X-Not-Run") != "",
 		Misdirected: r.Status == http.StatusMisdirectedRequest, Target: r.Header.Get("X-Target"),
 	}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -97,6 +97,7 @@
 	defer resp.Close()
 	s := g.cfg.Dialect.Read(resp)
 	if s.Target == c.endpoint.ID {
+		s.Limit.Unknown = !g.healthNamesLimit(c, s.Limit)
 		g.updateAvailability(c, s)
 	}
 	return s.ColdFor, resp.Status == http.StatusOK && s.Target == c.endpoint.ID
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,7 +41,7 @@
 			Name: "flamingoreel_gateway_sends_total", Help: "Requests sent to targets by outcome.",
 		}, []string{"outcome"}),
 		unavailable: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "flamingoreel_gateway_unavailable_total", Help: "Requests refused because the targets that may run them are leaving or paused.",
+			Name: "flamingoreel_gateway_unavailable_total", Help: "Requests refused because the targets that may run them are leaving, paused or limited.",
 		}, []string{"service", "reason"}),
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "flamingoreel_gateway_probes_total", Help: "Health checks of targets that failed before.",
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -179,7 +179,7 @@
 func (a *activeRequest) relayedResult(r *relayReply) Result {
 	if r.Kind == "" {
 		resp := &upstream.Response{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length}
-		a.g.noteRelayedLeave(r.Answered, resp)
+		a.g.noteRelayed(r.Answered, resp)
 		return Result{Response: resp}
 	}
 	result := a.failureResult(&errkind.Error{Kind: r.Kind, Message: r.Message})
@@ -189,9 +189,9 @@
 	return result
 }
 
-// noteRelayedLeave records that the target of a relayed response is leaving if the
-// response says so. A pause is meant for the peer, which has recorded it.
-func (g *Gateway) noteRelayedLeave(target fleet.Incarnation, resp *upstream.Response) {
+// noteRelayed records whether the target of a relayed response is leaving and which
+// limit it names. A pause is meant for the peer, which has recorded it.
+func (g *Gateway) noteRelayed(target fleet.Incarnation, resp *upstream.Response) {
 	e, ok := g.view.Load().Endpoint(target.ID)
 	if !ok || e.Incarnation != target {
 		return
@@ -199,7 +199,8 @@
 	g.mu.Lock()
 	state := g.stateOf(e)
 	g.mu.Unlock()
-	g.updateAvailability(choice{e, state}, ResponseInfo{Leaving: g.cfg.Dialect.Read(resp).Leaving})
+	info := g.cfg.Dialect.Read(resp)
+	g.updateAvailability(choice{e, state}, ResponseInfo{Leaving: info.Leaving, Limit: info.Limit})
 }
 
 // label returns the value of the metrics label outcome.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -78,6 +78,8 @@
 	// usableAt is when the only target that may run the request leaves its
 	// backoff, or 0.
 	usableAt time.Duration
+	// reserved is the time at which the request may be sent to a limited target.
+	reserved reservation
 	// unavailable says whether the last choice failed because of what targets said
 	// about further requests, and returnsAt is when the first of them accepts
 	// requests again, or 0.
