Refuse heartbeats whose values describe no target

A start far in the future makes every later start at the address count as an earlier one; a cold time near 2^63 overflows in the arithmetic of the leader and of entries.

Such a heartbeat is refused with 400 and a log line, and counted. One odd row is left out, because a target whose heartbeats are refused loses all its keys.

Checked and sound already: nesting of 2^20 levels (encoding/json and the decoder of the links limit it), numbers beyond integers, ports above 65535. Not covered: a writer that names a good target's address with a later start is taken for the next process at that address; nothing tells them apart.

--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -291,8 +291,10 @@
 func TestSuspectedRequestRunsAlone(t *testing.T) {
 	s := NewSuspects()
 	f := []uint64{1}
-	if !s.Begin(0, f) || !s.Begin(0, f) {
-		t.Fatal("a sound request is held back")
+	for range 2 {
+		if !s.Begin(0, f) {
+			t.Fatal("a sound request is held back")
+		}
 	}
 	s.End(f)
 	s.Lost(0, Process{"t", 1}, f)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -175,6 +175,11 @@
 func (c *Controller) Heartbeat(ctx context.Context, b registry.Heartbeat) (registry.Grant, *errkind.Error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	if err := b.Check(); err != nil {
+		c.metrics.oddHeartbeats.Inc()
+		return registry.Grant{}, errkind.Wrap(errkind.BadRequest, err, "heartbeat of %.64q names", b.Target.ID)
+	}
+	b = b.WithoutOddRows()
 	local, failure := c.localView(ctx, b)
 	if failure == nil && local.redundant {
 		return registry.Grant{}, nil
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -76,9 +76,12 @@
 	if err := wire.Unmarshal(payload, &req); err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "heartbeat cannot be read")
 	}
-	if t := req.Heartbeat.Target; t.ID == "" || t.Condition < fleet.Leaving && (t.Service == "" || t.Address == "" || t.Slots < 1) {
-		return nil, errkind.New(errkind.BadRequest, "heartbeat of %q lacks the target's ID, service, address or slots", t.ID)
+	// The VM that forwards it may be of an earlier build.
+	if err := req.Heartbeat.Check(); err != nil {
+		c.metrics.oddHeartbeats.Inc()
+		return nil, errkind.Wrap(errkind.BadRequest, err, "heartbeat of %.64q names", req.Heartbeat.Target.ID)
 	}
+	req.Heartbeat = req.Heartbeat.WithoutOddRows()
 	r, failure := call(ctx, c.loop, heartbeatLane(req.Heartbeat), func(results chan<- heartbeatResult) { results <- c.loop.heartbeat(req) })
 	if failure != nil {
 		return nil, failure
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -42,6 +42,8 @@
 	changes  *prometheus.CounterVec
 	commit   prometheus.Histogram
 	answered *prometheus.HistogramVec
+	// oddHeartbeats counts heartbeats that were refused because of their values.
+	oddHeartbeats prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer, queued func() int) *metrics {
@@ -65,8 +67,11 @@
 			Name: "flamingoreel_control_change_seconds", Help: "Time from the request for a change to the response at the VM that received it, by outcome.", Buckets: waitBuckets,
 		}, []string{"outcome"}),
 	}
+	m.oddHeartbeats = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "flamingoreel_control_odd_heartbeats_total", Help: "Heartbeats refused because their values describe no target.",
+	})
 	if registry != nil {
-		registry.MustRegister(m.wait, m.expired, m.work, m.changes, m.commit, m.answered, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		registry.MustRegister(m.wait, m.expired, m.work, m.changes, m.commit, m.answered, m.oddHeartbeats, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "flamingoreel_control_queue_length", Help: "Events queued for the control goroutine.",
 		}, func() float64 { return float64(queued()) }))
 	}
