Test crashing requests and limits with real processes and in the soak

The fault soak draws both beside its other faults: a target names a limit for 5 s, and series of eight copies of a crashing request go to random entries.

--- a/cmd/flamingoreeld/soak_announce_test.go
+++ b/cmd/flamingoreeld/soak_announce_test.go
@@ -45,9 +45,16 @@
 		return
 	}
 	target := s.targets[s.rng.IntN(len(s.targets))]
-	if s.rng.IntN(2) == 0 {
+	switch s.rng.IntN(4) {
+	case 0:
 		target.announcer.pause(time.Duration(s.rng.Int64N(int64(maxPause))))
 		return
+	case 1:
+		s.limitTarget(target)
+		return
+	case 2:
+		s.sendCrashing()
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,6 +116,7 @@
 			}
 		}
 	}
+	s.checkCrashes()
 	s.t.Logf("%d late arrivals, explained by faults unless listed; announcements drawn: %v", checked, ownBuild())
 }
 
--- a/cmd/flamingoreeld/standin_test.go
+++ b/cmd/flamingoreeld/standin_test.go
@@ -39,8 +39,13 @@
 	heartbeatsOff atomic.Bool
 	// announcer makes the target say that it is leaving or paused.
 	announcer announcer
+	// limiter makes the target name a limit, and crashes, if set, lets requests crash it.
+	limiter limiter
+	crashes *crashLog
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// server is the HTTP server, nil while the target is down.
+	server  *http.Server
 	state   string
 	seq     int
 	startMs int64
@@ -77,12 +82,15 @@
 	if p.proxy != nil {
 		p.proxy.serve(listener.Addr().String())
 	}
-	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(listener) }()
+	p.serve(listener)
 	go p.sendHeartbeats()
 	t.Cleanup(func() {
 		close(p.stop)
-		_ = server.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.server != nil {
+			_ = p.server.Close()
+		}
 	})
 	return p
 }
@@ -210,9 +218,13 @@
 	if err != nil {
 		return
 	}
+	p.limiter.name(w, p.senderOf(r))
 	if p.announcer.announce(w, p.senderOf(r)) {
 		return
 	}
+	if p.crashIfAsked(r) {
+		panic(http.ErrAbortHandler)
+	}
 	p.execute(r, id)
 	w.Header().Set("Flamingoreel-Response-Stamp", "stamp-"+p.id)
 	w.Header().Set("Flamingoreel-Server-Load", "1,0,4,100")
