--- a/cmd/standin/settings.go
+++ b/cmd/standin/settings.go
@@ -61,6 +61,8 @@
 		text("journal", "", "file to which the idempotency key of every posting is appended"),
 		duration("load-lag", 0, "age of the load report"),
 		text("leaving-header", "", "header with the value 1 in all responses while the target drains"),
+		text("limit-header", "", "header in which all responses name the limit"),
+		number("limit", 0, "requests a second that the target takes from all senders together"),
 		duration("pause", 0, "time without requests that a full target asks for; 0 asks for none"),
 		duration("drain-grace", time.Second, "time after a stop signal in which new requests are still accepted"),
 		duration("drain-timeout", 10*time.Second, "maximum wait for running requests after the grace period"),
@@ -90,7 +92,7 @@
 			fault("--%s must be at least 1", name)
 		}
 	}
-	for _, name := range []string{"jitter", "cold-factor"} {
+	for _, name := range []string{"jitter", "cold-factor", "limit"} {
 		if c.Float(name) < 0 {
 			fault("--%s must be at least 0", name)
 		}
@@ -122,6 +124,8 @@
 		ColdFactor:       c.Float("cold-factor"),
 		LoadLag:          c.Duration("load-lag"),
 		LeavingHeader:    c.String("leaving-header"),
+		LimitHeader:      c.String("limit-header"),
+		Limit:            c.Float("limit"),
 		Pause:            c.Duration("pause"),
 	}, faults
 }
--- a/internal/standin/announcement_test.go
+++ b/internal/standin/announcement_test.go
@@ -46,3 +46,18 @@
 		t.Errorf("a full target asks for a pause of %q s, want 1.5", got)
 	}
 }
+
+// Guards against a stand-in that does not name its limit in all responses: tests of
+// entries would prove nothing.
+func TestLimitIsNamedInAllResponses(t *testing.T) {
+	target := start(t, func(c *Config) { c.LimitHeader, c.Limit, c.IgnoreGrants = "X-Limit", 2.5, true })
+	for _, path := range []string{"/", HealthPath} {
+		if got := get(t, target, path).Get("X-Limit"); got != "2.5" {
+			t.Errorf("%s: the header is %q, want 2.5", path, got)
+		}
+	}
+	target.Shed(time.Minute)
+	if got := get(t, target, "/").Get("X-Limit"); got != "2.5" {
+		t.Errorf("a refusal has %q, want 2.5", got)
+	}
+}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -66,6 +66,10 @@
 	// LeavingHeader names a header that all responses carry, with the value 1, while
 	// the target drains; empty means none.
 	LeavingHeader string
+	// LimitHeader names a header in which all responses name Limit, the requests a
+	// second that the target takes from all senders together; empty means none.
+	LimitHeader string
+	Limit       float64
 	// Pause is the time for which the target asks senders to send nothing when it
 	// sheds a request; 0 asks for none.
 	Pause time.Duration
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/flamingoreel/flamingoreel/internal/contract"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -41,6 +42,9 @@
 			w.Header().Set(target.HeaderRequestID, id)
 		}
 		t.announceLeave(run, w)
+		if t.cfg.LimitHeader != "" {
+			w.Header().Set(t.cfg.LimitHeader, strconv.FormatFloat(t.cfg.Limit, 'f', -1, 64))
+		}
 		serve(run, w, r)
 	}
 }
