--- a/cmd/flamingoreeld/crashing_test.go
+++ b/cmd/flamingoreeld/crashing_test.go
@@ -93,17 +93,15 @@
 }
 
 // Guards against a request that is sent on for ever by real processes although it
-// crashes each target, also through a restart of an entry VM and of a control VM, and
-// against refusals of other requests.
+// crashes each target, and against refusals of other requests.
 func TestCrashingRequestsOfADeployment(t *testing.T) {
 	s := newDeployment(t, crashingNetwork, 2)
 	var crashes crashLog
-	var targets []*platformTarget
 	for i := range 6 {
-		targets = append(targets, startPlatformTarget(t, &platformTarget{
+		startPlatformTarget(t, &platformTarget{
 			id: fmt.Sprint("ledger-", i), service: "ledger", zone: fmt.Sprint("z", i%2+1), controls: s.controls,
 			serviceTime: 20 * time.Millisecond, crashes: &crashes,
-		}))
+		})
 	}
 	startPlatformTarget(t, &platformTarget{id: "reports-0", service: "reports", zone: "z1", sharded: true, controls: s.controls})
 	s.callAny("config.patch", "", firstItems)
--- a/cmd/flamingoreeld/limiting_test.go
+++ b/cmd/flamingoreeld/limiting_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -148,5 +147,5 @@
 	if most, allowed := holder.limiter.excess(nobody); most > allowed || served < rate*4 || refused == 0 {
 		s.t.Errorf("%d requests in %v reached a holder, %d are allowed; %d served, %d refused", most, limitWindow, allowed, served, refused)
 	}
-	s.t.Log(fmt.Sprintf("%d served, %d refused", served, refused))
+	s.t.Logf("%d served, %d refused", served, refused)
 }
