Replay a deployment whose targets name limits

A third of the targets names a limit of 0.4 of its share of the load and slows down beyond it, with the square of the excess (an assumption). The other patterns name no limits.

--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -22,6 +22,9 @@
 	// longer slow after it became reachable again.
 	lost      bool
 	coldUntil time.Duration
+	// arrivals holds when the requests of the last excessWindow began, if the target
+	// names a limit.
+	arrivals []time.Duration
 }
 
 // load returns the load report of the target.
@@ -37,10 +40,12 @@
 	stats      []placement.TargetStats
 	// availability holds what each target has said about further requests.
 	availability []placement.Availability
-	averages     placement.ServiceAverage
-	pressure     placement.LoadShedder
-	preferred    map[string]bool
-	rng          *rand.Rand
+	// throttles holds the limits that the targets have named.
+	throttles []placement.Throttle
+	averages  placement.ServiceAverage
+	pressure  placement.LoadShedder
+	preferred map[string]bool
+	rng       *rand.Rand
 	// idle holds, by target index, when each idle connection was last used.
 	idle map[int][]time.Duration
 	// roundRobin is the position of the round robin policy.
@@ -89,6 +94,7 @@
 			e := &entry{addr: fmt.Sprintf("10.0.0.%d", n), dataCentre: i, rng: rand.New(rand.NewPCG(seed, uint64(n))), idle: make(map[int][]time.Duration)}
 			e.stats = make([]placement.TargetStats, len(f.targets))
 			e.availability = make([]placement.Availability, len(f.targets))
+			e.throttles = make([]placement.Throttle, len(f.targets))
 			f.entries = append(f.entries, e)
 			f.byDataCentre[i] = append(f.byDataCentre[i], e)
 		}
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -72,6 +72,8 @@
 	Outages []Outage
 	// Pauses are the times in which targets refuse all requests.
 	Pauses Pauses
+	// Limits are the rates that targets name.
+	Limits Limits
 	// BurstFactor is a factor on the rate from BurstFrom, for the time BurstFor; 0 is no
 	// burst.
 	BurstFrom, BurstFor time.Duration
@@ -105,7 +107,9 @@
 // the users' services whose keys are not assigned to targets: ledger at its
 // present size, ledger and spares-desk at their expected future size. Each one
 // runs below the stated rate, at it, above it with a burst, with the loss of a data
-// centre, and with targets that pause half of the time. The figures are those of the users; the crowding is an assumption.
+// centre, and with targets that pause half
+// of the time, and with targets that name a limit. The figures are those of the
+// users; the crowding is an assumption.
 func Patterns() []Pattern {
 	ledger := Pattern{
 		Name: "ledger", Slots: 6, Queue: 24, Speeds: []float64{0.6, 1, 1.4}, NoiseShare: 0.2, NoiseFactor: 3, NoiseEvery: 400 * time.Millisecond,
@@ -138,11 +142,26 @@
 		together.Name += ", targets paused together"
 		together.PerSecond *= 0.4
 		together.Pauses = Pauses{Every: 2 * time.Second, For: time.Second, Together: true}
-		patterns = append(patterns, calm, high, over, lost, pausing, together)
+		limited := base
+		limited.Name += ", a third of the targets limited"
+		limited.PerSecond *= 0.6
+		limited.Limits = Limits{Every: 3, From: 2 * time.Second, Rate: limitOfShare * limited.PerSecond / float64(limited.targetCount())}
+		patterns = append(patterns, calm, high, over, lost, pausing, together, limited)
 	}
 	return patterns
 }
 
+// limitOfShare is the limit that a target names as a part of its share of the load.
+const limitOfShare = 0.4
+
+// targetCount returns the number of targets.
+func (p Pattern) targetCount() (n int) {
+	for _, dataCentre := range p.DataCentres {
+		n += dataCentre.Targets
+	}
+	return n
+}
+
 // dataCentres returns the data centres of regions, each data centre with an equal
 // share of the requests.
 func dataCentres(regions, each int, entries, targets []int) []DataCentre {
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -46,6 +46,7 @@
 		{"product, all requests admitted", WithoutLoadShedding},
 		{"product, pauses ignored", WithoutPauses},
 		{"product, pauses known to all entries", SharedPauses},
+		{"product, limits ignored", WithoutLimits},
 		{"product", Product},
 		{"oracle", Oracle},
 	}
@@ -55,7 +56,7 @@
 // latency. It refuses the request if no response is expected before the timeout,
 // or if load shedding refuses it because of queue pressure.
 func Product(s *PolicyInput) int {
-	return product(s, options{admission: true, pauses: s.entry.availability})
+	return product(s, options{admission: true, pauses: s.entry.availability, limits: true})
 }
 
 // WithoutLoadShedding is the product's policy without load shedding.
@@ -68,6 +69,8 @@
 	admission bool
 	// pauses holds what is known of the pauses of targets; nil ignores them.
 	pauses []placement.Availability
+	// limits heeds the limits that targets name.
+	limits bool
 }
 
 func product(s *PolicyInput, o options) int {
@@ -75,6 +78,9 @@
 	if o.pauses != nil {
 		candidates, indexes = s.skipPaused(o.pauses)
 	}
+	if o.limits {
+		candidates, indexes = s.skipLimited(candidates, indexes)
+	}
 	i, expected := placement.Choose(s.Now, s.Class.ServiceTime, s.Class.LatencyObjective-s.Waited, s.entry.rng, candidates)
 	if s.Waited+expected > s.Class.Timeout {
 		return -1
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -120,6 +120,7 @@
 	}
 	q.target, q.sent = f.targets[s.TargetIndexes[i]], r.now
 	e.stats[q.target.index].Started()
+	e.throttles[q.target.index].Take(r.now)
 	r.result.countAttempt(s.Candidates[i], r.connect(e, q.target))
 	r.schedule(r.now+f.delay(e, q.target), func() { r.deliver(q) })
 }
@@ -194,7 +195,7 @@
 	t, p := q.target, r.f.pattern
 	t.running++
 	fill := float64(t.running) / float64(p.Slots)
-	factor := t.speed * t.noise * (1 + p.FullLoadSlowdown*fill*fill*fill*fill)
+	factor := t.speed * t.noise * t.slowdown(r.now, p.Limits.of(r.now, t.index)) * (1 + p.FullLoadSlowdown*fill*fill*fill*fill)
 	if r.now < t.coldUntil {
 		factor *= p.Outages[0].ColdFactor
 	}
@@ -231,6 +232,7 @@
 func (r *run) receive(q *request, l placement.Load, refused bool) {
 	t := &q.entry.stats[q.target.index]
 	t.Ended()
+	r.learnLimit(q)
 	q.entry.pressure.AddReport(l)
 	q.entry.idle[q.target.index] = append(q.entry.idle[q.target.index], r.now)
 	if refused {
