Count the losses that are dropped without a crash

Suspicions recorded, received and cleared were counted, but not the losses of which nothing came; without the figure a loss that is decided wrongly can't be seen.

--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -59,8 +59,10 @@
 	ended map[Process]time.Duration
 	// proven holds when a request with a fingerprint last completed.
 	proven map[uint64]time.Duration
-	// running counts the requests in progress by suspected fingerprint.
+	// running counts the requests in progress by their first fingerprint.
 	running map[uint64]int
+	// dropped counts the losses that were dropped without evidence of a crash.
+	dropped int
 }
 
 // NewSuspects returns an empty record.
@@ -83,6 +85,7 @@
 	}
 	if len(s.losses) >= maxLosses {
 		s.losses = slices.Delete(s.losses, 0, 1)
+		s.dropped++
 	}
 	s.losses = append(s.losses, loss{now, p, fingerprints})
 	return true
@@ -111,7 +114,14 @@
 func (s *Suspects) Alive(p Process, sent time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return l.process == p && l.at <= sent })
+	s.drop(func(l loss) bool { return l.process == p && l.at <= sent })
+}
+
+// drop removes losses that say nothing against their requests.
+func (s *Suspects) drop(matches func(loss) bool) {
+	before := len(s.losses)
+	s.losses = slices.DeleteFunc(s.losses, matches)
+	s.dropped += before - len(s.losses)
 }
 
 // Undecided reports whether losses at a process are undecided.
@@ -130,6 +140,14 @@
 	return len(s.losses)
 }
 
+// CountDropped returns the number of losses that were dropped because their target
+// lived on, their request completed, or no evidence came.
+func (s *Suspects) CountDropped() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dropped
+}
+
 // Completed records that a target completed a request, and reports whether that
 // cleared a suspicion.
 func (s *Suspects) Completed(now time.Duration, fingerprints []uint64) bool {
@@ -143,7 +161,7 @@
 		s.proven[f] = now
 		cleared = s.Clear(f) || cleared
 	}
-	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return slices.Contains(fingerprints, l.fingerprints[0]) })
+	s.drop(func(l loss) bool { return slices.Contains(fingerprints, l.fingerprints[0]) })
 	return cleared
 }
 
@@ -241,7 +259,7 @@
 
 // forget drops what is too old to matter.
 func (s *Suspects) forget(now time.Duration) {
-	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return now-l.at >= lossRetention })
+	s.drop(func(l loss) bool { return now-l.at >= lossRetention })
 	for p, at := range s.ended {
 		if now-at >= lossRetention {
 			delete(s.ended, p)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -83,7 +83,9 @@
 		return float64(g.path.AnsweredTargets(g.now()))
 	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "flamingoreel_gateway_undecided_losses", Help: "Lost requests of which it is not known yet whether their target crashed.",
-	}, func() float64 { return float64(g.crashes.CountUndecided(g.now())) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	}, func() float64 { return float64(g.crashes.CountUndecided(g.now())) }), prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "flamingoreel_gateway_dropped_losses_total", Help: "Lost requests that did not count as crashes: the target lived on, the request completed, or no evidence came.",
+	}, func() float64 { return float64(g.crashes.CountDropped()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "flamingoreel_gateway_known_crashers", Help: "Fingerprints of requests that are refused because they crash targets.",
 	}, func() float64 { return float64(g.crashes.CountRefused(g.now())) }))
 }
