Refuse a request whose limited holder is lost before its turn

A request that had reserved a time at a limited holder kept that time as the next one to try. If the holder was lost by then, the time lay in the past, and the request asked again without a pause until its deadline, on an entry with 0.16 cores. Found by reading; TestRequestWithATurnAtALostHolderIsRefused failed before.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -135,8 +135,11 @@
 		return true
 	}
 	if a.reserved.target == e.Incarnation {
+		if a.reserved.at <= now {
+			return true
+		}
 		a.usableAt = a.reserved.at
-		return a.reserved.at <= now
+		return false
 	}
 	a.g.shareLimit(view, e, t)
 	opens, ok := t.throttle.OpensAt(now)
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
+	"github.com/flamingoreel/flamingoreel/internal/placement"
 )
 
 // Bound on the requests to a target that named a limit.
@@ -179,3 +180,22 @@
 		t.Error("the limit stays although the target no longer names it")
 	}
 }
+
+// Guards against a request that asks for its target without a pause until its deadline
+// because the target is lost while the request waits for its turn.
+func TestRequestWithATurnAtALostHolderIsRefused(t *testing.T) {
+	b := newTestbed(t)
+	b.addHolder("127.0.0.1:1")
+	a := b.active("/keyed-read/x", "1")
+	a.sharded, a.req.Key = true, 7
+	holder, _ := b.g.view.Load().Endpoint("holder")
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	state := b.g.stateOf(holder)
+	state.throttle.Update(placement.Limit{Named: true, Rate: 4})
+	a.reserved = reservation{holder.Incarnation, b.g.now()}
+	state.Block(forever)
+	if _, failure := a.pick(); failure == nil || a.usableAt != 0 {
+		t.Errorf("got %v, to be tried again at %v", failure, a.usableAt)
+	}
+}
