Rank entries in one place for cold and limited targets

The shares of a limit ordered the entries by a second copy of the code for cold targets. Equal hashes are now ordered by address for cold targets too. Beside it, a watch request that can't be encoded keeps its suspicions, as one that fails does.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -118,8 +118,8 @@
 
 // pausedFailure returns the reason of the refusal if the next attempt of the caller
 // would find only targets that are paused or take no more requests yet, and nil
-// otherwise. That attempt may go to
-// any target of the service, or to the holder of its key. The mutex is held.
+// otherwise. That attempt may go to any target of the service, or to the holder of its
+// key. The mutex is held.
 func (a *activeRequest) pausedFailure(view *fleet.View) *errkind.Error {
 	now := a.g.now()
 	first, reason := forever, available
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -165,6 +165,7 @@
 		KnownDigest: w.digest, Samples: g.takeSamples(), Suspicions: suspicions, Received: g.crashes.received,
 	})
 	if err != nil {
+		g.crashes.Requeue(suspicions)
 		r.err = err
 		replies <- r
 		return replies
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -38,27 +38,33 @@
 	if each := share / max(len(entries), 1); each > 0 && slices.ContainsFunc(entries, func(s Entry) bool { return s.Addr == self }) {
 		return coldPeriod / time.Duration(each)
 	}
-	type ranked struct {
-		Entry
-		hash uint64
+	ranked := rankEntries(target, entries)
+	for _, e := range ranked[:min(share, len(ranked))] {
+		if e.Addr == self {
+			return coldPeriod
+		}
 	}
-	list := make([]ranked, 0, len(entries))
-	for _, s := range entries {
-		list = append(list, ranked{s, xxhash.Sum64String(target + "\x00" + s.Addr)})
+	return 0
+}
+
+// rankEntries returns the entries in the order in which they get shares of a target that
+// takes fewer requests than there are entries: those in the target's region first, and
+// within that by a hash of target and entry, so that different targets use different
+// entries.
+func rankEntries(target string, entries []Entry) []Entry {
+	ranked := slices.Clone(entries)
+	hashes := make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		hashes[e.Addr] = xxhash.Sum64String(target + "\x00" + e.Addr)
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
+	slices.SortFunc(ranked, func(a, b Entry) int {
 		if a.Near != b.Near {
 			if a.Near {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Compare(a.hash, b.hash)
+		return cmp.Or(cmp.Compare(hashes[a.Addr], hashes[b.Addr]), cmp.Compare(a.Addr, b.Addr))
 	})
-	for _, r := range list[:min(share, len(list))] {
-		if r.Addr == self {
-			return coldPeriod
-		}
-	}
-	return 0
+	return ranked
 }
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -1,12 +1,9 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Limit is what one response of a target says about the requests per second that the
@@ -43,35 +40,18 @@
 
 // ShareLimit returns the share of the entry self in a limit of rate requests per
 // second. An entry knows neither what others send nor whether they know of the limit,
-// so the rate is divided evenly. If there are many entries, only some get a share:
-// those in the target's region first, and within that by a hash of target and entry,
-// so that different targets use different entries.
+// so the rate is divided evenly. If there are many entries, only the first ones of
+// rankEntries get a share.
 //
-// Invariant: in any 4 s all sharers together send at most 4 rate + minLimitSharers +
-// rate requests, also if their intervals begin at the same time.
+// Invariant: in any time all sharers together send at most rate times that time, plus
+// rate + minLimitSharers requests if their intervals begin at the same moment.
 func ShareLimit(rate float64, target, self string, entries []Entry) LimitShare {
 	if !(rate > 0) {
 		return LimitShare{}
 	}
-	type ranked struct {
-		Entry
-		hash uint64
-	}
-	list := make([]ranked, 0, len(entries))
-	for _, e := range entries {
-		list = append(list, ranked{e, xxhash.Sum64String(target + "\x00" + e.Addr)})
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.Near != b.Near {
-			if a.Near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.Addr, b.Addr))
-	})
-	sharers := int(math.Min(float64(len(list)), minLimitSharers+math.Floor(rate)))
-	i := slices.IndexFunc(list[:sharers], func(r ranked) bool { return r.Addr == self })
+	ranked := rankEntries(target, entries)
+	sharers := int(math.Min(float64(len(ranked)), minLimitSharers+math.Floor(rate)))
+	i := slices.IndexFunc(ranked[:sharers], func(e Entry) bool { return e.Addr == self })
 	if i < 0 {
 		return LimitShare{}
 	}
