Log the refusal of a request whose copies have other queries

The line 'request crashes targets' asked for the first fingerprint only, which differs between such copies, so that nothing in the log explained their refusal. TestRefusalUnderAnotherQueryIsLogged failed before.

--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -93,18 +93,18 @@
 	return true
 }
 
-// Ended records that a process is known to have crashed. It returns the first
-// fingerprints of the undecided losses that count as crashes because of that.
-func (s *Suspects) Ended(now time.Duration, p Process) []uint64 {
+// Ended records that a process is known to have crashed. It returns the
+// fingerprints of each undecided loss that counts as a crash because of that.
+func (s *Suspects) Ended(now time.Duration, p Process) [][]uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forget(now)
 	s.ended[p] = now
-	var counted []uint64
+	var counted [][]uint64
 	for _, l := range s.losses {
 		if l.process == p {
 			s.count(now, p, l.fingerprints)
-			counted = append(counted, l.fingerprints[0])
+			counted = append(counted, l.fingerprints)
 		}
 	}
 	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return l.process == p })
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -107,15 +107,15 @@
 // targetCrashed counts the losses at a process that crashed against the lost
 // requests.
 func (g *Gateway) targetCrashed(p admission.Process, evidence crashEvidence) {
-	fingerprints := g.crashes.Ended(g.now(), p)
-	if len(fingerprints) == 0 {
+	lost := g.crashes.Ended(g.now(), p)
+	if len(lost) == 0 {
 		return
 	}
-	g.metrics.suspicions.WithLabelValues("recorded").Add(float64(len(fingerprints)))
-	g.cfg.Logger.WithFields(log.Fields{"target": p.Target, "born": p.Incarnation, "evidence": evidence, "lost_requests": len(fingerprints)}).Warn("target crashed")
-	for _, f := range fingerprints {
-		if g.crashes.Judge(g.now(), []uint64{f}) == admission.Refused {
-			g.cfg.Logger.WithFields(crashFields(f)).WithField("target", p.Target).Warn("request crashes targets")
+	g.metrics.suspicions.WithLabelValues("recorded").Add(float64(len(lost)))
+	g.cfg.Logger.WithFields(log.Fields{"target": p.Target, "born": p.Incarnation, "evidence": evidence, "lost_requests": len(lost)}).Warn("target crashed")
+	for _, fingerprints := range lost {
+		if g.crashes.Judge(g.now(), fingerprints) == admission.Refused {
+			g.cfg.Logger.WithFields(crashFields(fingerprints[0])).WithField("target", p.Target).Warn("request crashes targets")
 		}
 	}
 }
--- a/internal/gateway/crash_wave_test.go
+++ b/internal/gateway/crash_wave_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 )
@@ -216,3 +219,21 @@
 		t.Errorf("got %+v, want a refusal", reply)
 	}
 }
+
+// Guards against a refusal that the log doesn't explain because the copies of the
+// request have other queries.
+func TestRefusalUnderAnotherQueryIsLogged(t *testing.T) {
+	b := newTestbed(t)
+	handler := memory.New()
+	b.g.cfg.Logger = &log.Logger{Handler: handler, Level: log.InfoLevel}
+	for i := range int64(crashesBeforeRefusal) {
+		req := crashRequest(0, 0)
+		req.URI += fmt.Sprint("?page=", i)
+		p := processOf(fleet.Incarnation{ID: "t", StartMs: i})
+		b.g.crashes.Lost(b.g.now(), p, req.fingerprints())
+		b.g.targetCrashed(p, evidenceReplaced)
+	}
+	if last := handler.Entries[len(handler.Entries)-1]; last.Message != "request crashes targets" {
+		t.Errorf("the last line is %q", last.Message)
+	}
+}
