Keep the bounds of targets, the sharing entries and a seed in one place

The bounds of slots and cold time stood in the check of heartbeats and in the view; the list of entries that may send to a target was built for cold and for limited targets; a test read its seed by hand where the package has envInt.

--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -1,11 +1,8 @@
 package admission
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -258,11 +255,7 @@
 // an entry VM are lost; and against the refusal of sound requests that were in flight
 // at crashed targets or on an entry VM that was cut off.
 func TestSuspectsStopCrashersAndSpareOthers(t *testing.T) {
-	seed, err := strconv.ParseInt(cmp.Or(os.Getenv("FLAMINGOREEL_TEST_SEED"), "1"), 10, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters := gopter.DefaultTestParametersWithSeed(envInt("FLAMINGOREEL_TEST_SEED", 1))
 	parameters.MinSuccessfulTests = 60
 	properties := gopter.NewProperties(parameters)
 	properties.Property("crashers are stopped and sound requests served", prop.ForAll(func(seed int64) (string, error) {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -15,6 +15,15 @@
 // MaxKey is the highest key of a sharded service; the lowest is 0.
 const MaxKey = 65535
 
+// Bounds of the values of a target.
+const (
+	// MaxSlots is far above the number of requests that a target of any deployment
+	// runs at the same time.
+	MaxSlots = 1 << 16
+	// MaxColdFor is far above the time for which a target stays cold.
+	MaxColdFor = time.Hour
+)
+
 // Condition says whether a target may get new work.
 type Condition uint8
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -114,13 +114,6 @@
 	}
 }
 
-// Bounds of the values of a target in a view. Control states of earlier builds may
-// hold others, which must not overflow in the arithmetic of an entry VM.
-const (
-	maxViewSlots   = 1 << 16
-	maxViewColdFor = time.Hour
-)
-
 // applyTargets applies changes of targets and data centres. Targets of a data
 // centre that is back in service may have become cold while it was out, so they
 // count as cold for their service's cold period.
@@ -134,8 +127,9 @@
 			delete(all, t.ID)
 			continue
 		}
-		t.Slots = min(max(t.Slots, 1), maxViewSlots)
-		all[t.ID] = &Endpoint{Target: t, ColdUntil: now + min(max(t.ColdFor, 0), maxViewColdFor)}
+		// A state of an earlier build may hold values that overflow.
+		t.Slots = min(max(t.Slots, 1), MaxSlots)
+		all[t.ID] = &Endpoint{Target: t, ColdUntil: now + min(max(t.ColdFor, 0), MaxColdFor)}
 	}
 	for _, dc := range d.DataCentres {
 		if dc.Out {
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -13,12 +13,17 @@
 // coldInterval returns the time between two requests of this entry VM to a cold
 // target, or 0 if it may send none.
 func (g *Gateway) coldInterval(view *fleet.View, service items.Service, e *fleet.Endpoint) time.Duration {
+	return placement.ColdInterval(service.ColdRate*g.cfg.ColdFactor+g.cfg.ColdSlack, e.ID, g.cfg.Addr, g.sharers(view, e))
+}
+
+// sharers returns the recorded entry VMs, which may send to a target.
+func (g *Gateway) sharers(view *fleet.View, e *fleet.Endpoint) []placement.Entry {
 	region := g.cfg.Regions[e.DataCentre]
 	var sharers []placement.Entry
 	for _, entry := range view.Entries() {
 		sharers = append(sharers, placement.Entry{Addr: entry.Addr, Near: entry.Region == region})
 	}
-	return placement.ColdInterval(service.ColdRate*g.cfg.ColdFactor+g.cfg.ColdSlack, e.ID, g.cfg.Addr, sharers)
+	return sharers
 }
 
 // Timing of the checks by a gateway without a connection to any control VM.
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -61,26 +62,21 @@
 		entries = &list[0]
 	}
 	if known := t.limitShare; known == nil || known.rate != t.throttle.Rate() || known.entries != entries {
-		share := placement.ShareLimit(t.throttle.Rate(), e.ID, g.cfg.Addr, g.sharers(view, e))
+		share := placement.ShareLimit(t.throttle.Rate(), e.ID, g.cfg.Addr, g.limitSharers(view, e))
 		t.limitShare = &knownShare{t.throttle.Rate(), entries, share}
 	}
 	t.throttle.Share(g.now(), t.limitShare.share)
 	return t.limitShare.share
 }
 
-// sharers returns the entry VMs that may send to a target.
-func (g *Gateway) sharers(view *fleet.View, e *fleet.Endpoint) []placement.Entry {
-	region := g.cfg.Regions[e.DataCentre]
-	var sharers []placement.Entry
-	known := false
-	for _, entry := range view.Entries() {
-		known = known || entry.Addr == g.cfg.Addr
-		sharers = append(sharers, placement.Entry{Addr: entry.Addr, Near: entry.Region == region})
+// limitSharers returns the entry VMs that share the limit of a target. This VM is one
+// of them even before it is recorded.
+func (g *Gateway) limitSharers(view *fleet.View, e *fleet.Endpoint) []placement.Entry {
+	sharers := g.sharers(view, e)
+	if slices.ContainsFunc(sharers, func(s placement.Entry) bool { return s.Addr == g.cfg.Addr }) {
+		return sharers
 	}
-	if !known {
-		sharers = append(sharers, placement.Entry{Addr: g.cfg.Addr, Near: g.cfg.Region == region})
-	}
-	return sharers
+	return append(sharers, placement.Entry{Addr: g.cfg.Addr, Near: g.cfg.Region == g.cfg.Regions[e.DataCentre]})
 }
 
 // followLimit checks the health of a limited target from time to time while this VM
--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 )
@@ -12,11 +11,6 @@
 // Bounds of the values of a heartbeat. Other writers may send heartbeats too, and an
 // accepted value is kept in the log, the snapshots and the views of all entry VMs.
 const (
-	// maxSlots is far above the number of requests that a target of any deployment
-	// runs at the same time.
-	maxSlots = 1 << 16
-	// maxColdFor is far above the time for which a target stays cold.
-	maxColdFor = time.Hour
 	// maxStartMs is the start of the year 2200 as Unix time in milliseconds. It does
 	// not depend on the clock of this VM, which may be wrong.
 	maxStartMs = 7258118400000
@@ -52,10 +46,10 @@
 	if addr, err := netip.ParseAddrPort(t.Address); err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
 		return fmt.Errorf("the address %q, to which no connection can be made", t.Address)
 	}
-	if t.Slots < 1 || t.Slots > maxSlots {
+	if t.Slots < 1 || t.Slots > fleet.MaxSlots {
 		return fmt.Errorf("%d slots", t.Slots)
 	}
-	if t.ColdFor < 0 || t.ColdFor > maxColdFor {
+	if t.ColdFor < 0 || t.ColdFor > fleet.MaxColdFor {
 		return fmt.Errorf("a cold time of %v", t.ColdFor)
 	}
 	if b.Seq < 0 {
