--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,8 +20,8 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 var cases = map[string]func(*cluster) error{
-	"lost-disks":  lostDisks,
-	"stale-order": staleOrder,
+	"lost-disks":   lostDisks,
+	"other-writer": otherWriter,
 }
 
 func main() { os.Exit(run()) }
