--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,8 +20,9 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 var cases = map[string]func(*cluster) error{
-	"lost-disks":   lostDisks,
-	"other-writer": otherWriter,
+	"lost-disks":    lostDisks,
+	"other-writer":  otherWriter,
+	"replace-three": replaceThree,
 }
 
 func main() { os.Exit(run()) }
