--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -148,6 +149,9 @@
 // start starts the process with the command of the deploy file.
 func (m *vm) start(bootstrap bool) error {
 	class, serves, data, memory := "front", "front", "null", 284
+	if v, err := strconv.Atoi(os.Getenv("REVIEW_MEMORY")); err == nil {
+		memory = v
+	}
 	listen := fmt.Sprintf(`front: "%s:%d", ready_addr: "%s:%d"`, m.ip, frontPort, m.ip, readyPort)
 	if m.role == "control" {
 		class, serves, data, memory = "core", "control", fmt.Sprintf("%q", m.dataDir), 280
--- a/review/harness/endpoints.go
+++ b/review/harness/endpoints.go
@@ -39,7 +39,16 @@
 
 // startEndpoint starts a stand-in at an address of its own.
 func startEndpoint(c *cluster, id, service, zone, ip string, controls []*vm, work time.Duration) (*endpoint, error) {
-	l, err := net.Listen("tcp", ip+":8367")
+	return startEndpointAt(c, nil, id, service, zone, ip, controls, work)
+}
+
+// startEndpointAt starts a stand-in to which paths may be broken.
+func startEndpointAt(c *cluster, p *paths, id, service, zone, ip string, controls []*vm, work time.Duration) (*endpoint, error) {
+	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	if p != nil {
+		listen = p.listen
+	}
+	l, err := listen(ip + ":8367")
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -22,6 +24,8 @@
 var cases = map[string]func(*cluster) error{
 	"lost-disks":    lostDisks,
 	"other-writer":  otherWriter,
+	"bodies":        bodies,
+	"relayed":       relayed,
 	"replace-three": replaceThree,
 }
 
@@ -51,11 +55,17 @@
 		return 2
 	}
 	defer c.close()
+	// A write to a closed output must not end the harness before its processes.
+	signal.Ignore(syscall.SIGPIPE)
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
 	rec.printf("case %s, disruption %v", os.Args[1], trouble)
 	ended := make(chan error, 1)
 	go func() { ended <- show(c) }()
 	select {
 	case err = <-ended:
+	case received := <-stops:
+		err = fmt.Errorf("signal %v", received)
 	case <-time.After(112 * time.Second):
 		err = errors.New("the case took too long")
 	}
