--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -75,6 +74,10 @@
 	done   chan struct{}
 	leader bool
 	starts int
+	// mostMemory is the most memory in MB that was seen, and ended how often the
+	// platform ended the process because of it.
+	mostMemory float64
+	ended      int
 }
 
 func newCluster(rec *recorder, bin string) (*cluster, error) {
@@ -149,9 +152,6 @@
 // start starts the process with the command of the deploy file.
 func (m *vm) start(bootstrap bool) error {
 	class, serves, data, memory := "front", "front", "null", 284
-	if v, err := strconv.Atoi(os.Getenv("REVIEW_MEMORY")); err == nil {
-		memory = v
-	}
 	listen := fmt.Sprintf(`front: "%s:%d", ready_addr: "%s:%d"`, m.ip, frontPort, m.ip, readyPort)
 	if m.role == "control" {
 		class, serves, data, memory = "core", "control", fmt.Sprintf("%q", m.dataDir), 280
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,11 +22,10 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 var cases = map[string]func(*cluster) error{
-	"lost-disks":    lostDisks,
-	"other-writer":  otherWriter,
-	"bodies":        bodies,
-	"relayed":       relayed,
-	"replace-three": replaceThree,
+	"lost-disks":     lostDisks,
+	"other-writer":   otherWriter,
+	"relayed-bodies": relayedBodies,
+	"replace-three":  replaceThree,
 }
 
 func main() { os.Exit(run()) }
