--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -182,7 +183,9 @@
 		return err
 	}
 	cmd.Stderr = logs
-	if err := cmd.Start(); err != nil {
+	// The process ends with the harness, however that ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := onStarter(cmd.Start); err != nil {
 		return err
 	}
 	done := make(chan struct{})
@@ -346,3 +349,25 @@
 		backoff = min(2*backoff, time.Second)
 	}
 }
+
+// starts receives what the starter runs.
+var starts = make(chan func())
+
+// startStarter runs the goroutine that starts all processes. Its thread lives as long
+// as the harness, because a process that is to end with its parent ends with the thread
+// that started it.
+func startStarter() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
+// onStarter runs a function on the thread of the starter.
+func onStarter(run func() error) error {
+	result := make(chan error)
+	starts <- func() { result <- run() }
+	return <-result
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -53,6 +53,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	startStarter()
 	defer c.close()
 	// A write to a closed output must not end the harness before its processes.
 	signal.Ignore(syscall.SIGPIPE)
