Give the vote of a lost control VM to its successor in time

What callers saw: after a control VM was replaced, its vote counted for 6 s, and for up to 13 s with a change of leader.

Cause: replicaLostAfter was a constant of 6 s where the deployment allows 4 s (catch_up). The time without a reply began anew with each leader. A learner that had caught up and found no vote kept others from being added, and no more than two learners were kept.

Change: catch_up is read from the settings and a replica counts as lost after a quarter of it, without the time for which the leader itself was suspended. The leader reports silent replicas in its replies to introductions, so that its successor counts on. Learners that wait hold back nobody, and the one in the region with the fewest votes is preferred. Old builds ignore the new field.

Ruled out: a shorter constant alone, because each change of leader starts it anew; removing a vote without a learner, because a restarted voter needs it.

The unit tests need the new types and don't compile before.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -275,7 +275,7 @@
 	c, err := controller.New(controller.Config{
 		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Seeds: s.Seeds,
 		CallAddr: s.ControlAddr, Regions: s.Regions,
-		DataDir: s.DataDir, Bootstrap: s.Bootstrap, ToleratedLosses: s.ToleratedLosses,
+		DataDir: s.DataDir, Bootstrap: s.Bootstrap, ToleratedLosses: s.ToleratedLosses, CatchUp: s.CatchUp,
 		Seed: uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
 	})
 	if err != nil {
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -174,6 +174,7 @@
 	n.leader = n.cfg.ID
 	n.votes = nil
 	n.peers = make(map[string]*progress)
+	n.lastTick = n.now
 	n.updatePeers()
 	n.termStart = n.appendEntry(EntryCommand, nil)
 	n.recordInitialMembership()
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -39,6 +39,7 @@
 	peers        map[string]*progress
 	termStart    uint64
 	heartbeatDue time.Duration
+	lastTick     time.Duration
 
 	// saved is the hard state that was last saved or recovered.
 	saved           HardState
@@ -241,3 +242,6 @@
 
 // Membership returns the membership in force, committed or not.
 func (n *Node) Membership() Membership { return n.history.current().clone() }
+
+// CommittedMembership returns the newest membership that is known to be committed.
+func (n *Node) CommittedMembership() Membership { return n.history.at(n.log.commit).clone() }
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -32,8 +32,14 @@
 	replied bool
 	// sentCommit is the commit index last sent.
 	sentCommit uint64
-	// lastReply is when the last reply of this term arrived.
+	// lastReply is when the last reply of this term arrived, or when the term began.
 	lastReply time.Duration
+	// heard says that a reply of this term arrived.
+	heard bool
+	// silence is how long the leader ran without a reply. In contrast to the time
+	// since lastReply it doesn't grow while the leader itself is suspended: a leader
+	// that wakes up reads the replies that wait for it only after its first tick.
+	silence time.Duration
 	// ackedStamp is the latest Stamp that a reply returned, or 0 if none did.
 	ackedStamp time.Duration
 	// snapshotSent is when a snapshot was last sent.
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -24,6 +24,7 @@
 // tickLeader makes the leader step down if it received no replies from a quorum
 // for longer than ElectionMax, and marks the periodic appends as due.
 func (n *Node) tickLeader() {
+	n.addSilence()
 	if n.now-n.quorumTime(lastReplyOf) > n.cfg.ElectionMax {
 		n.becomeFollower(n.term, "")
 		return
@@ -37,6 +38,16 @@
 	}
 }
 
+// addSilence adds the time since the last tick to the silence of all other replicas.
+// Of a longer pause of the leader only one heartbeat interval counts.
+func (n *Node) addSilence() {
+	elapsed := min(n.now-n.lastTick, n.cfg.HeartbeatInterval)
+	n.lastTick = n.now
+	for _, p := range n.peers {
+		p.silence += elapsed
+	}
+}
+
 // flushAppends queues the appends that are due. Proposals made between two
 // calls of Ready share one append per follower.
 func (n *Node) flushAppends() {
@@ -126,7 +137,7 @@
 	if m.Term < n.term || m.Index > n.log.last() {
 		return
 	}
-	p.lastReply = n.now
+	p.lastReply, p.heard, p.silence = n.now, true, 0
 	p.ackedStamp = max(p.ackedStamp, m.Stamp)
 	p.replied = true
 	if m.Reject {
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -251,3 +251,35 @@
 		}
 	}
 }
+
+// Guards against a leader that takes others for silent after it was suspended itself:
+// their replies wait until after its first tick.
+func TestSuspendedLeaderDoesNotCountItsPause(t *testing.T) {
+	s := newSim(1, "a/0", "b/0", "c/0")
+	leader := s.leaseHolder()
+	s.run(time.Second)
+	leader.node.Tick(s.localTime(leader) + 10*time.Second)
+	for _, r := range leader.node.Status(s.localTime(leader) + 10*time.Second).Replicas {
+		if r.SinceLastReply > 2*DefaultHeartbeatInterval {
+			t.Errorf("%s counts as silent for %v", r.ID, r.SinceLastReply)
+		}
+	}
+}
+
+// Guards against a silent replica that a leader doesn't notice.
+func TestSilentReplicaIsNoticed(t *testing.T) {
+	s := newSim(1, "a/0", "b/0", "c/0")
+	leader := s.leaseHolder()
+	silent := s.replicas[0]
+	if silent == leader {
+		silent = s.replicas[1]
+	}
+	s.run(time.Second)
+	s.crash(silent)
+	s.run(time.Second)
+	for _, r := range leader.node.Status(s.localTime(leader)).Replicas {
+		if want := r.ID == silent.id; want != (r.SinceLastReply > 900*time.Millisecond) {
+			t.Errorf("%s was silent for %v", r.ID, r.SinceLastReply)
+		}
+	}
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -32,8 +32,12 @@
 	Voter bool
 	// Match is the last index known to be synced on the replica.
 	Match uint64
-	// SinceLastReply is the time since the last reply; 0 for the leader itself.
+	// SinceLastReply is how long the leader ran without a reply, without the time for
+	// which it was suspended itself; 0 for the leader itself.
 	SinceLastReply time.Duration
+	// Heard says that a reply arrived in this term. If not, SinceLastReply is the time
+	// since the term began and the replica may be silent for longer.
+	Heard bool
 	// CaughtUp says that the replica's log is recent enough for a learner to
 	// become a voter.
 	CaughtUp bool
@@ -80,12 +84,12 @@
 		status := ReplicaStatus{ID: id, Voter: membership.IsVoter(id)}
 		if p := n.peers[id]; p != nil {
 			status.Match = p.match
-			status.SinceLastReply = n.now - p.lastReply
+			status.SinceLastReply, status.Heard = p.silence, p.heard
 			status.CaughtUp = p.caughtUp(n.now, n.cfg.ElectionMin)
 			status.Installing = p.state == installing
 		} else {
 			status.Match = n.log.stable
-			status.CaughtUp = true
+			status.CaughtUp, status.Heard = true, true
 		}
 		all = append(all, status)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -45,6 +46,9 @@
 	Bootstrap bool
 	// ToleratedLosses is the number of control VMs that may be lost at once.
 	ToleratedLosses int
+	// CatchUp is the time within which a VM that starts catches up. A VM that is gone
+	// for good must have a successor by then.
+	CatchUp time.Duration
 	// Seed makes the reconnect jitter and the election timeouts repeatable.
 	Seed   uint64
 	Logger log.Interface
@@ -74,6 +78,9 @@
 
 	suspicions suspicions
 	leader     knownLeader
+	// silent is how long members of the control log have been silent, by replica ID, as
+	// last determined while this VM led.
+	silent atomic.Pointer[map[string]time.Duration]
 
 	mu sync.Mutex
 	// known holds the known control VMs by link address.
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -69,9 +69,8 @@
 	votersShortSince    time.Duration
 	lastPlan            time.Duration
 	lastMembershipCheck time.Duration
-	// candidates holds the last introduction of each other control VM, by link
-	// address.
-	candidates map[string]candidate
+	// roster holds what is known about the replicas of the other control VMs.
+	roster *roster
 	// proposals holds the commands whose results are awaited, by log index.
 	proposals map[uint64]proposal
 	// fresh tracks how far the state lags behind the leader.
@@ -92,7 +91,7 @@
 		c: c, logger: c.cfg.Logger,
 		events: newQueue(), ended: make(chan struct{}),
 		state: fleet.NewState(), changed: make(chan struct{}), deltas: make(map[uint64]*sharedDelta),
-		candidates: make(map[string]candidate), proposals: make(map[uint64]proposal), entrySeen: make(map[string]time.Duration),
+		roster: newRoster(c.cfg.ToleratedLosses, c.cfg.CatchUp), proposals: make(map[uint64]proposal), entrySeen: make(map[string]time.Duration),
 	}
 }
 
@@ -227,9 +226,11 @@
 	case leads && l.registry == nil:
 		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Info("control leadership gained")
 		l.registry = registry.New(now)
+		l.roster.elected(now)
 	case !leads && l.registry != nil:
 		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Warn("control leadership lost")
 		l.registry = nil
+		l.c.silent.Store(nil)
 		for index, p := range l.proposals {
 			p.done <- errkind.New(errkind.Internal, "control leadership was lost before the change was confirmed")
 			delete(l.proposals, index)
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -28,16 +28,9 @@
 	// maxContactAge is the maximum age of the last introduction of a control VM or the
 	// last watch of an entry VM: three missed introductions.
 	maxContactAge = 3 * time.Second
-	// replicaLostAfter is the time without a reply after which a replica counts as
-	// lost: a learner is removed, a voter gives way to a learner that has caught up.
-	// It is above the duration of a restart and of a freeze of a few seconds.
-	replicaLostAfter = 6 * time.Second
 	// voterWaitTimeout is how long changes are refused while there are fewer voters than
 	// the tolerated losses require. After that they are confirmed by fewer voters.
 	voterWaitTimeout = 3 * time.Second
-	// maxLearners bounds the number of learners, which receive the log but have no
-	// vote.
-	maxLearners = 2
 )
 
 // hello is the introduction of a control VM and its replica.
@@ -53,14 +46,9 @@
 type helloReply struct {
 	Leader     string       `msgpack:"l"`
 	ControlVMs []watch.Peer `msgpack:"k"`
-}
-
-// candidate is the last introduction of a control VM, whose replica may become a
-// member.
-type candidate struct {
-	replicaID string
-	watchers  []fleet.Entry
-	at        time.Duration
+	// Silent is how long members of the control log have been silent, by replica ID. It
+	// counts only if the sender leads.
+	Silent map[string]time.Duration `msgpack:"q,omitempty"`
 }
 
 // watcher is an entry VM that watches this VM, with the time of its last watch.
@@ -118,6 +106,9 @@
 		return
 	}
 	c.addPeers(reply.ControlVMs)
+	if reply.Leader == addr {
+		c.loop.post(ctx, routine, func() { c.loop.roster.reported(c.now(), reply.Silent) })
+	}
 	c.adoptLeader(addr, reply.Leader)
 }
 
@@ -213,7 +204,7 @@
 		return
 	}
 	watching := l.c.recentWatchers()
-	for addr, cand := range l.candidates {
+	for addr, cand := range l.roster.candidates {
 		if addr != l.c.cfg.Addr && now-cand.at < maxContactAge {
 			watching = append(watching, cand.watchers...)
 		}
@@ -254,10 +245,14 @@
 	c.mu.Lock()
 	c.lastHello[h.Peer.Addr] = c.now()
 	c.mu.Unlock()
+	reply := helloReply{Leader: c.Leader(), ControlVMs: c.ControlVMs()}
+	if silent := c.silent.Load(); silent != nil {
+		reply.Silent = *silent
+	}
 	c.loop.post(ctx, routine, func() {
-		c.loop.candidates[h.Peer.Addr] = candidate{replicaID: h.ReplicaID, watchers: h.Watchers, at: c.now()}
+		c.loop.roster.introduced(h.Peer.Addr, candidate{replicaID: h.ReplicaID, watchers: h.Watchers, at: c.now()})
 	})
-	return wire.Marshal(&helloReply{Leader: c.Leader(), ControlVMs: c.ControlVMs()})
+	return wire.Marshal(&reply)
 }
 
 // handleReplicaMessage delivers a message of the control log to the replica.
@@ -282,11 +277,9 @@
 // reconcileMembers changes the membership towards the wanted number of voters. Each
 // call proposes at most one change.
 func (l *loop) reconcileMembers(now time.Duration) {
-	status := l.replica.Status(now)
-	next, reason := nextMembership(memberView{
-		current: l.replica.Membership(), self: l.replicaID, wanted: 2*l.c.cfg.ToleratedLosses + 1,
-		candidates: l.recentCandidates(now), replicas: status.Replicas,
-	})
+	silent := l.roster.silent(l.replica.Status(now).Replicas)
+	l.c.silent.Store(&silent)
+	next, reason := nextMembership(l.roster.view(now, l.replica, l.placesOfVMs()))
 	if reason == "" {
 		return
 	}
@@ -297,81 +290,13 @@
 	l.logger.WithFields(log.Fields{"reason": reason, "voters": len(next.Voters), "learners": len(next.Learners)}).Info("membership change proposed")
 }
 
-// recentCandidates returns the replica IDs of the control VMs that introduced
-// themselves within maxContactAge, sorted by address.
-func (l *loop) recentCandidates(now time.Duration) []string {
-	var ids []string
-	for _, addr := range slices.Sorted(maps.Keys(l.candidates)) {
-		if c := l.candidates[addr]; now-c.at < maxContactAge {
-			ids = append(ids, c.replicaID)
-		}
-	}
-	return ids
-}
-
-// memberView is the input of the decision on the next membership change.
-type memberView struct {
-	current consensus.Membership
-	// self is the ID of the leader's own replica.
-	self string
-	// wanted is the number of voters to reach.
-	wanted int
-	// candidates are the IDs of the replicas that introduced themselves recently,
-	// sorted by address.
-	candidates []string
-	replicas   []consensus.ReplicaStatus
-}
-
-// nextMembership returns the next membership and the reason for the change, or an
-// empty reason if there is nothing to change. A new replica catches up as a learner
-// before a voter is removed to make room for it, so that at most one vote is missing
-// at a time. The voter removed is the earlier replica of the learner's VM, or else
-// one that has been unresponsive for longer than replicaLostAfter.
-func nextMembership(v memberView) (consensus.Membership, string) {
-	m := v.current
-	for _, r := range v.replicas {
-		if !r.Voter && r.SinceLastReply > replicaLostAfter {
-			return m.Without(r.ID), "learner is unresponsive"
-		}
-	}
-	if learner := caughtUp(v.replicas); learner != "" {
-		return v.admit(learner)
-	}
-	for _, id := range v.candidates {
-		if !m.IsVoter(id) && !m.IsLearner(id) && len(m.Learners) < maxLearners {
-			return m.WithLearner(id), "replica introduced itself"
-		}
-	}
-	return m, ""
-}
-
-// caughtUp returns the ID of a learner that may become a voter, or "".
-func caughtUp(replicas []consensus.ReplicaStatus) string {
-	for _, r := range replicas {
-		if !r.Voter && r.CaughtUp {
-			return r.ID
-		}
-	}
-	return ""
-}
-
-// admit makes a learner a voter, or removes a voter to make room for it.
-func (v memberView) admit(learner string) (consensus.Membership, string) {
-	m := v.current
-	if len(m.Voters) < v.wanted {
-		return m.WithVoter(learner), "replica caught up"
-	}
-	for _, old := range m.Voters {
-		if vmAddr(old) == vmAddr(learner) && old != v.self {
-			return m.Without(old), "identity replaced"
-		}
-	}
-	for _, r := range v.replicas {
-		if r.Voter && r.ID != v.self && r.SinceLastReply > replicaLostAfter {
-			return m.Without(r.ID), "voter is unresponsive"
-		}
+// placesOfVMs returns the locations of the known control VMs by link address.
+func (l *loop) placesOfVMs() map[string]place {
+	places := make(map[string]place)
+	for _, peer := range l.c.ControlVMs() {
+		places[peer.Addr] = place{region: peer.Region, dataCentre: peer.DataCentre}
 	}
-	return m, ""
+	return places
 }
 
 // enoughVoters reports whether a membership has enough voters for the tolerated
