Hand over the vote of a control VM that stops

Cause: a control VM that stops said nothing. Its vote stayed until it had been silent, and the third stop left two votes of five.

A learner that has caught up gets a vote first, then the stopping voter loses its own; the leader comes last. Without such a learner the vote stays. An interrupted exchange leaves six voters, and the next leader removes the one that stops or is silent.

Ruled out: removing the stopping voter first, which leaves four votes while a further VM may be lost; replacing one voter by another in one membership entry, because the quorums before and after need not overlap.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -294,6 +294,7 @@
 	if err := p.wait(ctx, c.AddSeeds); err != nil {
 		return err
 	}
+	c.Resign(context.Background())
 	stopCtx, cancel := context.WithTimeout(context.Background(), controlStopTimeout)
 	defer cancel()
 	return ignoreDeadline(calls.Shutdown(stopCtx))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,6 +65,7 @@
 	methodSample    = "sample"
 
 	methodSuspicions = "suspicions"
+	methodResign     = "resign"
 )
 
 // Controller is a running control VM.
@@ -78,6 +79,8 @@
 
 	suspicions suspicions
 	leader     knownLeader
+	// stopping says that this VM stops and gives up its vote.
+	stopping atomic.Bool
 	// silent is how long members of the control log have been silent, by replica ID, as
 	// last determined while this VM led.
 	silent atomic.Pointer[map[string]time.Duration]
@@ -156,6 +159,7 @@
 	c.links.Handle(methodRead, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
 		return c.handleRead(ctx)
 	})
+	c.links.Handle(methodResign, c.handleResign)
 	c.links.Handle(methodSample, c.handleSamples)
 	c.links.Handle(methodSuspicions, c.handleSuspicions)
 	c.links.Handle(watch.MethodWatch, c.handleWatch)
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -58,10 +58,11 @@
 }
 
 // introduce periodically introduces this VM to the leader, or to all known control
-// VMs while no leader is known. It runs until ctx ends. On the leader it records the
+// VMs while no leader is known. It runs until ctx ends or the VM stops: an
+// introduction makes the replica a candidate for a vote. On the leader it records the
 // entry VMs instead.
 func (c *Controller) introduce(ctx context.Context) {
-	for {
+	for !c.stopping.Load() {
 		leader := c.Leader()
 		interval := helloInterval
 		peers := []watch.Peer{{Addr: leader}}
--- a/internal/controller/members_test.go
+++ b/internal/controller/members_test.go
@@ -164,6 +164,42 @@
 	return v
 }
 
+// Guards against the loss of control when voters stop for good: a learner gets the
+// vote before the stopping voter loses it, and the leader gives up its own vote last.
+func TestStoppingVotersAreReplacedFirst(t *testing.T) {
+	m := five()
+	m.Learners = []string{"f/1", "g/1"}
+	var reasons []string
+	for range 5 {
+		v := viewOf(m, "a/0").stop("a/0", "b/0")
+		next, reason := nextMembership(v)
+		if reason == "" {
+			break
+		}
+		if len(next.Voters) < 5 {
+			t.Errorf("only %d voters after %q", len(next.Voters), reason)
+		}
+		if !next.IsVoter("a/0") && next.IsVoter("b/0") {
+			t.Error("the leader gave up its vote before the other")
+		}
+		m, reasons = next, append(reasons, reason)
+	}
+	if m.IsVoter("a/0") || m.IsVoter("b/0") || !m.IsVoter("f/1") || !m.IsVoter("g/1") {
+		t.Errorf("got %+v by %q, want f/1 and g/1 in place of a/0 and b/0", m, reasons)
+	}
+}
+
+// Guards against a stopping voter without a successor that loses its vote: its process
+// may be restarted with its disk.
+func TestStoppingVoterWithoutASuccessorKeepsItsVote(t *testing.T) {
+	m := five()
+	m.Learners = []string{"f/1"}
+	v := viewOf(m, "a/0").stop("b/0", "f/1")
+	if next, reason := nextMembership(v); reason != "" {
+		t.Errorf("got %+v: %s", next, reason)
+	}
+}
+
 // Guards against an exchange that is interrupted after the successor got its vote: an
 // even number of voters tolerates no more losses but needs a larger quorum.
 func TestVotersBeyondTheWantedNumberAreRemoved(t *testing.T) {
@@ -194,6 +230,21 @@
 	}
 }
 
+// Guards against a successor that puts a third vote into one region while another
+// learner would keep the votes spread.
+func TestSuccessorKeepsVotesSpread(t *testing.T) {
+	m := five()
+	m.Learners = []string{"f/1", "g/1", "h/1"}
+	v := viewOf(m, "a/0").stop("e/0")
+	v.places = map[string]place{
+		"a": {"r0", "x"}, "b": {"r0", "y"}, "c": {"r1", "x"}, "d": {"r1", "y"}, "e": {"r2", "x"},
+		"f": {"r0", "x"}, "g": {"r2", "y"}, "h": {"r1", "x"},
+	}
+	if next, _ := nextMembership(v); !next.IsVoter("g/1") {
+		t.Errorf("got %+v, want the vote of e/0 to stay in its region", next)
+	}
+}
+
 // Guards against a lost voter that keeps its vote for longer with each change of the
 // leader: what the last leader reported counts until the voter replies.
 func TestNextLeaderKnowsSilentVoters(t *testing.T) {
@@ -229,3 +280,42 @@
 		}
 	}
 }
+
+// Guards against a control VM that stops for good and keeps its vote although a
+// successor stands by, also if it leads.
+func TestStoppedVMGivesItsVoteToASuccessor(t *testing.T) {
+	for _, stopsLeader := range []bool{false, true} {
+		v := startVMs(t)
+		cfg := v.all[0].cfg
+		cfg.Addr, cfg.DataDir, cfg.Bootstrap, cfg.Registry = freeAddrs(t, 1)[0], t.TempDir(), false, nil
+		successor, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(successor.Close)
+		leader, stopped := v.leader()
+		if stopsLeader {
+			leader, stopped = stopped, leader
+		}
+		members := func(c *Controller) consensus.Membership {
+			m, failure := call(context.Background(), c.loop, urgent, func(results chan<- consensus.Membership) {
+				results <- c.loop.replica.CommittedMembership()
+			})
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			return m
+		}
+		v.await("the successor has caught up", 10*time.Second, func() bool { return members(successor).IsLearner(successor.loop.replicaID) })
+		time.Sleep(time.Second)
+		stopped.Resign(context.Background())
+		if m := members(leader); len(m.Voters) < 3 || !m.IsVoter(successor.loop.replicaID) {
+			t.Errorf("leader stops %t: got %+v, want a vote of %s", stopsLeader, m, successor.loop.replicaID)
+		}
+		stopped.Close()
+		v.await("the stopped VM has no vote", 3*time.Second, func() bool {
+			m := members(leader)
+			return len(m.Voters) == 3 && !m.IsVoter(stopped.loop.replicaID)
+		})
+	}
+}
