Forget when entries watched once a control VM leads again

A VM that leads again after more than 20 s could record entries that serve as gone until their next watch, up to a second later.

Cause: entrySeen kept the times of the earlier term. Only the leader maintains it. Change: a VM that gains leadership starts anew, so that an entry that is really gone is recorded up to 20 s later, which costs a place in a list.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -75,9 +75,6 @@
 	proposals map[uint64]proposal
 	// fresh tracks how far the state lags behind the leader.
 	fresh freshness
-	// entrySeen is when each entry VM was last known to watch a control VM, by link
-	// address. Only the leader maintains it.
-	entrySeen map[string]time.Duration
 }
 
 // proposal is a command that waits for its entry to be committed.
@@ -91,7 +88,7 @@
 		c: c, logger: c.cfg.Logger,
 		events: newQueue(), ended: make(chan struct{}),
 		state: fleet.NewState(), changed: make(chan struct{}), deltas: make(map[uint64]*sharedDelta),
-		roster: newRoster(c.cfg.ToleratedLosses, c.cfg.CatchUp), proposals: make(map[uint64]proposal), entrySeen: make(map[string]time.Duration),
+		roster: newRoster(c.cfg.ToleratedLosses, c.cfg.CatchUp), proposals: make(map[uint64]proposal),
 	}
 }
 
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -210,26 +210,31 @@
 			watching = append(watching, cand.watchers...)
 		}
 	}
+	if changed := l.roster.entryChanges(now, l.state.Entries(), watching); len(changed) > 0 {
+		l.propose(now, fleet.Command{Entries: changed}, nil)
+	}
+}
+
+// entryChanges returns the entry VMs to record: those that watch and are not known or
+// recorded as gone, and those that have watched no control VM for entryGoneAfter.
+func (r *roster) entryChanges(now time.Duration, known map[string]fleet.Entry, watching []fleet.Entry) []fleet.Entry {
 	var changed []fleet.Entry
-	known := l.state.Entries()
 	for _, e := range watching {
-		l.entrySeen[e.Addr] = now
+		r.entrySeen[e.Addr] = now
 		if held, ok := known[e.Addr]; !ok || held.Gone {
 			changed = append(changed, e)
 		}
 	}
 	for addr, held := range known {
-		seen, ok := l.entrySeen[addr]
+		seen, ok := r.entrySeen[addr]
 		if !ok {
-			l.entrySeen[addr] = now
+			r.entrySeen[addr] = now
 		} else if !held.Gone && now-seen > entryGoneAfter {
 			held.Gone = true
 			changed = append(changed, held)
 		}
 	}
-	if len(changed) > 0 {
-		l.propose(now, fleet.Command{Entries: changed}, nil)
-	}
+	return changed
 }
 
 // handleHello records a control VM as known and as a candidate.
--- a/internal/controller/members_test.go
+++ b/internal/controller/members_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/consensus"
+	"github.com/flamingoreel/flamingoreel/internal/fleet"
 )
 
 // settle applies membership changes until there is nothing left to change. It
@@ -319,3 +320,20 @@
 		})
 	}
 }
+
+// Guards against entry VMs that are recorded as gone by a VM that leads again: it saw
+// them last in its earlier term.
+func TestVMThatLeadsAgainWaitsForEntries(t *testing.T) {
+	r := newRoster(2, 4*time.Second)
+	entry := fleet.Entry{Addr: "e:1"}
+	known := map[string]fleet.Entry{entry.Addr: entry}
+	r.elected(0)
+	r.entryChanges(0, known, []fleet.Entry{entry})
+	r.elected(time.Minute)
+	if changed := r.entryChanges(time.Minute, known, nil); len(changed) > 0 {
+		t.Errorf("a VM that leads again recorded %+v", changed)
+	}
+	if changed := r.entryChanges(time.Minute+entryGoneAfter+1, known, nil); len(changed) != 1 || !changed[0].Gone {
+		t.Errorf("got %+v, want the entry recorded as gone", changed)
+	}
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -55,6 +55,9 @@
 	reports map[string]reportedSilence
 	// electedAt is when this VM became the leader.
 	electedAt time.Duration
+	// entrySeen is when each entry VM was last known to watch a control VM, by link
+	// address. Only the leader maintains it.
+	entrySeen map[string]time.Duration
 }
 
 // newRoster returns the roster of a deployment that tolerates the loss of the given
@@ -63,6 +66,7 @@
 	return &roster{
 		wanted: 2*toleratedLosses + 1, silentAfter: max(time.Duration(silentFraction*float64(catchUp)), minSilence),
 		candidates: make(map[string]candidate), stopping: make(map[string]bool), reports: make(map[string]reportedSilence),
+		entrySeen: make(map[string]time.Duration),
 	}
 }
 
@@ -87,8 +91,12 @@
 	}
 }
 
-// elected records that this VM became the leader.
-func (r *roster) elected(now time.Duration) { r.electedAt = now }
+// elected records that this VM became the leader. What it saw of entry VMs in an
+// earlier term is outdated.
+func (r *roster) elected(now time.Duration) {
+	r.electedAt = now
+	clear(r.entrySeen)
+}
 
 // silent returns how long replicas have been silent, without those that reply.
 func (r *roster) silent(replicas []consensus.ReplicaStatus) map[string]time.Duration {
