End a target only on proof, not on another sender's heartbeat

Cause: claimAddress and applyTarget take what a heartbeat says of itself as proof that the holder's process has ended, and reassignable moves its rows before the grant has expired.

Change: the leader admits a heartbeat before it proposes anything, so that replicas of earlier builds apply the same commands. A newcomer needs a service in force; to replace another it needs a known data centre, and the other must be silent for 1.25 heartbeat intervals. Heartbeats without a required field are refused. A target that counts as ended although its heartbeats go on is revived, by a command that is proposed only once all members know it.

Ruled out: waiting for the grant to expire in every case, because addresses and restarted targets would be served up to 2 s later; a check of the service alone, because a later start with an unknown data centre does the same; a change of what the state machine does with old commands, because old and new replicas would differ.

Tests changed: TestRestartedTargetFreesItsKeys restarts 1.5 intervals after the last heartbeat instead of 0.9, since one message of a restart right after a heartbeat is no longer enough; it still requires the keys long before the grant expires. TestLateHeartbeatDoesNotBringBackATargetThatLeft used one address for two targets at the same time and now uses two. TestHeartbeatsWithoutAField failed before for version, cold_left and born.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -276,7 +276,8 @@
 		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Seeds: s.Seeds,
 		CallAddr: s.ControlAddr, Regions: s.Regions,
 		DataDir: s.DataDir, Bootstrap: s.Bootstrap, ToleratedLosses: s.ToleratedLosses, CatchUp: s.CatchUp,
-		Seed: uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
+		HeartbeatInterval: s.HeartbeatInterval,
+		Seed:              uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
 	})
 	if err != nil {
 		return cli.Exit(err, exitSettings)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,8 @@
 	// CatchUp is the time within which a VM that starts catches up. A VM that is gone
 	// for good must have a successor by then.
 	CatchUp time.Duration
+	// HeartbeatInterval is the time between two heartbeats of a target.
+	HeartbeatInterval time.Duration
 	// Seed makes the reconnect jitter and the election timeouts repeatable.
 	Seed   uint64
 	Logger log.Interface
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -222,7 +222,7 @@
 	switch {
 	case leads && l.registry == nil:
 		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Info("control leadership gained")
-		l.registry = registry.New(now)
+		l.registry = registry.New(now, registry.Deployment{HeartbeatInterval: l.c.cfg.HeartbeatInterval, Regions: l.c.cfg.Regions})
 		l.roster.elected(now)
 	case !leads && l.registry != nil:
 		l.logger.WithFields(log.Fields{"replica": l.replicaID, "term": l.replica.Term()}).Warn("control leadership lost")
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -39,6 +39,8 @@
 	ReplicaID string     `msgpack:"r"`
 	// Watchers are the entry VMs that watch the sender.
 	Watchers []fleet.Entry `msgpack:"w"`
+	// Level is the level of the sender's state machine; 0 for builds without levels.
+	Level int `msgpack:"v,omitempty"`
 }
 
 // helloReply is the response to a hello: the leader, "" if none is known, and the
@@ -90,7 +92,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	payload, err := wire.Marshal(&hello{Peer: c.self(), ReplicaID: c.loop.replicaID, Watchers: c.recentWatchers()})
+	payload, err := wire.Marshal(&hello{Peer: c.self(), ReplicaID: c.loop.replicaID, Watchers: c.recentWatchers(), Level: fleet.RevivalLevel})
 	if err != nil {
 		c.cfg.Logger.WithError(err).Error("introduction cannot be encoded")
 		return
@@ -256,7 +258,7 @@
 		reply.Silent = *silent
 	}
 	c.loop.post(ctx, routine, func() {
-		c.loop.roster.introduced(h.Peer.Addr, candidate{replicaID: h.ReplicaID, watchers: h.Watchers, at: c.now()})
+		c.loop.roster.introduced(h.Peer.Addr, candidate{replicaID: h.ReplicaID, watchers: h.Watchers, level: h.Level, at: c.now()})
 	})
 	return wire.Marshal(&reply)
 }
@@ -285,6 +287,7 @@
 func (l *loop) reconcileMembers(now time.Duration) {
 	silent := l.roster.silent(l.replica.Status(now).Replicas)
 	l.c.silent.Store(&silent)
+	l.registry.Revives = l.roster.lowestLevel(l.replicaID, l.replica.Membership()) >= fleet.RevivalLevel
 	next, reason := nextMembership(l.roster.view(now, l.replica, l.placesOfVMs()))
 	if reason == "" {
 		return
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -27,7 +27,9 @@
 type candidate struct {
 	replicaID string
 	watchers  []fleet.Entry
-	at        time.Duration
+	// level is the level of the VM's state machine.
+	level int
+	at    time.Duration
 }
 
 // place is the location of a VM.
@@ -125,6 +127,22 @@
 	return status.SinceLastReply >= minSilence && r.silenceOf(status) >= r.silentAfter
 }
 
+// lowestLevel returns the lowest level of the members' state machines, 0 if that of a
+// member isn't known. self is the replica of this VM.
+func (r *roster) lowestLevel(self string, m consensus.Membership) int {
+	lowest := fleet.RevivalLevel
+	for _, id := range m.Members() {
+		c := r.candidates[vmAddr(id)]
+		if id != self && c.replicaID != id {
+			return 0
+		}
+		if id != self {
+			lowest = min(lowest, c.level)
+		}
+	}
+	return lowest
+}
+
 // recentCandidates returns the replica IDs of the control VMs that introduced
 // themselves within maxContactAge, sorted by address.
 func (r *roster) recentCandidates(now time.Duration) []string {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -62,6 +62,17 @@
 	return all
 }
 
+// AtAddress returns the targets at an address, ended ones included.
+func (s *State) AtAddress(address string) []Target {
+	var found []Target
+	for _, t := range s.targets {
+		if t.Address == address {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
 // ShardMap returns the assignment of the keys of a service.
 func (s *State) ShardMap(service string) (ShardMap, bool) {
 	sh, ok := s.shards[service]
@@ -101,6 +112,10 @@
 			e.Revision = index
 			s.entries[e.Addr] = e
 		}
+	case len(cmd.Revived) > 0:
+		for _, t := range cmd.Revived {
+			s.revive(index, t)
+		}
 	default:
 		for _, t := range cmd.Targets {
 			s.applyTarget(index, t)
@@ -124,6 +139,14 @@
 	s.evictOldest()
 }
 
+// revive stores a target that counted as ended and still runs.
+func (s *State) revive(index uint64, t Target) {
+	if known, ok := s.targets[t.ID]; ok && known.Incarnation == t.Incarnation && known.Condition == Ended && t.Condition < Leaving {
+		t.Revision = index
+		s.targets[t.ID] = t
+	}
+}
+
 // claimAddress marks other targets at the target's address as ended if they
 // started earlier. It reports false when one that started later has the address:
 // the target's heartbeat was then delayed and the process that sent it has ended.
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -28,7 +28,7 @@
 type Condition uint8
 
 // The conditions of a target. Within one incarnation a condition never changes to
-// an earlier one of this list.
+// an earlier one of this list, except for an ended target that is revived.
 const (
 	Ready Condition = iota
 	// Draining targets finish their requests and get no new ones.
@@ -36,8 +36,7 @@
 	// Leaving targets announced that they are leaving; they may still run requests
 	// and hold keys for a while.
 	Leaving
-	// Ended targets are known to have stopped: a later incarnation has their ID
-	// or their address.
+	// Ended targets have stopped: a later incarnation has their ID or their address.
 	Ended
 )
 
@@ -138,8 +137,15 @@
 	ShardMapChange *ShardMapChange `msgpack:"s,omitempty"`
 	Notification   *Notification   `msgpack:"o,omitempty"`
 	Entries        []Entry         `msgpack:"e,omitempty"`
+	// Revived are targets that counted as ended although they run. Builds before
+	// RevivalLevel ignore them.
+	Revived []Target `msgpack:"w,omitempty"`
 }
 
+// RevivalLevel is the level of the state machine from which on it applies
+// Command.Revived. All replicas must have it before such a command is proposed.
+const RevivalLevel = 1
+
 // ShardMapChange replaces rows of a service with the rows of ShardMap. It has no effect
 // if any row that they overlap changed after revision Base: the plan was then
 // made from outdated rows.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -108,6 +108,9 @@
 	// coldUntil is when the target stops being cold according to the last command
 	// about it.
 	coldUntil time.Duration
+	// refused counts the heartbeats that the state did not follow since refusedSince.
+	refused      int
+	refusedSince time.Duration
 }
 
 // rowID identifies one assignment of a row to a holder. Each assignment has its own
@@ -122,7 +125,10 @@
 
 // Registry holds what a control leader learns about targets during its term.
 type Registry struct {
-	electedAt time.Duration
+	electedAt  time.Duration
+	deployment Deployment
+	// Revives says that all control VMs can bring back targets that count as ended.
+	Revives bool
 	// rowsPerTarget is the number of rows that each target gets in the initial
 	// assignment; 0 stands for the default.
 	rowsPerTarget int
@@ -151,9 +157,10 @@
 
 // New returns the registry of a leader that was elected at now. Grants of earlier
 // leaders may still be valid then.
-func New(now time.Duration) *Registry {
+func New(now time.Duration, d Deployment) *Registry {
 	return &Registry{
 		electedAt:     now,
+		deployment:    d,
 		liveness:      make(map[fleet.Incarnation]*liveness),
 		proposed:      make(map[string]proposal),
 		announcements: make(map[string]announcementTimes),
@@ -181,13 +188,14 @@
 }
 
 // HandleHeartbeat handles a heartbeat. It returns the grant for the target and the commands
-// that record what changed. Heartbeats of earlier incarnations and heartbeats that
-// arrive out of order get an empty grant.
+// that record what changed. Heartbeats of earlier incarnations, heartbeats that arrive
+// out of order and those that the state may not follow get an empty grant.
 func (r *Registry) HandleHeartbeat(now time.Duration, s *fleet.State, b Heartbeat) (Grant, []fleet.Command) {
 	known, ok := s.Target(b.Target.ID)
 	if ok && known.StartMs > b.Target.StartMs {
 		return Grant{}, nil
 	}
+	first := r.liveness[b.Target.Incarnation] == nil
 	l := r.livenessOf(b.Target.Incarnation)
 	// A target's leave call carries no sequence number.
 	leaving := b.Target.Condition >= fleet.Leaving
@@ -198,8 +206,14 @@
 		l.seq = b.Seq
 	}
 	l.lastHeartbeat = now
-	r.recordAnnouncement(now, b.Target.Service, !ok || known.Incarnation != b.Target.Incarnation)
+	r.recordAnnouncement(now, b.Target.Service, first && (!ok || known.Incarnation != b.Target.Incarnation))
+	if !r.admits(now, s, b.Target) {
+		return Grant{}, nil
+	}
 	var commands []fleet.Command
+	if cmd, due := r.revival(now, s, l, b.Target); due {
+		return Grant{}, []fleet.Command{cmd}
+	}
 	if cmd, due := r.targetUpdate(now, l, known, ok, b.Target); due {
 		commands = append(commands, cmd)
 	}
