--- a/internal/controller/membership_property_test.go
+++ b/internal/controller/membership_property_test.go
@@ -66,7 +66,6 @@
 	sent    int
 	later   []simEvent
 	trace   strings.Builder
-	fewest  int
 }
 
 type simDelivery struct {
