Ask whether the caller has left right before a request is sent

What callers saw: work went on for callers that had left (GONE): a request reached its target up to 0.6 s after its deadline.

And a context ends only when the server's goroutine has read the end of the connection, which is late when the processor is busy, although the kernel knows of it.

Change: Pool.Do sends nothing once the context has ended, and says so (not run). Before each send, also to other entries, the connection of the caller is looked at without reading from it. That is one system call a send.

Ruled out: resetting the connection to the target beside the write, which is what happened before and doesn't take back what the kernel has sent.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,9 @@
 	unavailable *prometheus.CounterVec
 	probes      prometheus.Counter
 	faults      prometheus.Counter
+	// abandoned counts the requests whose callers were found to have left right before
+	// a send.
+	abandoned prometheus.Counter
 	// relayed counts requests relayed for this VM (sent) and by it (received).
 	relayed    *prometheus.CounterVec
 	pathChecks *prometheus.CounterVec
@@ -49,6 +52,9 @@
 		faults: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "flamingoreel_gateway_faults_total", Help: "Panics that were caught.",
 		}),
+		abandoned: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "flamingoreel_gateway_abandoned_total", Help: "Requests that were not sent because their callers had left.",
+		}),
 	}
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "flamingoreel_gateway_relayed_total", Help: "Requests relayed by other entry VMs (sent) and for them (received) by outcome.",
@@ -63,7 +69,7 @@
 		Name: "flamingoreel_gateway_crash_suspicions_total", Help: "Suspicions that a request crashed a target: recorded by this VM, received from others, or cleared by it.",
 	}, []string{"event"})
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.sends, m.unavailable, m.probes, m.faults, m.relayed, m.pathChecks, m.crashChecks, m.suspicions)
+		registry.MustRegister(m.requests, m.latency, m.sends, m.unavailable, m.probes, m.faults, m.abandoned, m.relayed, m.pathChecks, m.crashChecks, m.suspicions)
 	}
 	return m
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -116,6 +116,10 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.LinkDown, err, "the request cannot be encoded")
 	}
+	if !a.wanted(ctx) {
+		outcome, label = reach.Abandoned, string(errkind.QueueTimeout)
+		return nil, errkind.New(errkind.QueueTimeout, "the caller left before the request was relayed")
+	}
 	g.links.SetPeer(addr, addr)
 	ctx, cancel := context.WithTimeout(ctx, a.deadline-g.now())
 	defer cancel()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -24,7 +24,7 @@
 	resp, failure := g.pool.Do(ctx, &upstream.Request{
 		Addr: c.endpoint.Address, Method: a.req.Method, URI: a.req.URI, Host: a.req.Host,
 		Header: header, Body: a.req.Body, HasBody: a.req.HasBody, ID: a.req.ID, Used: &a.usedConns, MaxBufferedBytes: holdBytes,
-		Accept: func(r *upstream.Response) bool { return a.accept(c, r) }, Proceed: func() bool { return g.open(c) },
+		Accept: func(r *upstream.Response) bool { return a.accept(c, r) }, Proceed: func() bool { return g.open(c) && a.wanted(ctx) },
 	})
 	res := attemptResult{choice: c, resp: resp, failure: failure}
 	if failure == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,6 +35,9 @@
 	CallerTimeout time.Duration
 	// Key is the key within a sharded service, or NoKey.
 	Key int
+	// Gone reports whether the caller has left, although its context has not ended yet;
+	// nil if that can't be known.
+	Gone func() bool
 }
 
 // Result is the final answer to a request: either a target's response, which
@@ -89,6 +92,8 @@
 	lastTarget     string
 	// answered is the target whose response goes to the caller.
 	answered fleet.Incarnation
+	// abandon ends the context of the request; nil for a relayed request.
+	abandon func()
 	// relayed reports that the request comes from another entry VM, and peer is the
 	// entry VM that relayed it for this one.
 	relayed bool
@@ -168,6 +173,7 @@
 		unlink()
 		cancel()
 	}
+	a.abandon = cancel
 	result := a.run(ctx)
 	a.record(result, item.Version)
 	if result.Response == nil || result.Response.Rest == nil {
@@ -213,6 +219,17 @@
 	undialed bool
 }
 
+// wanted reports whether the caller still waits for the answer. It must be asked right
+// before the request leaves this VM: a target works on what it has received although
+// nobody waits any more.
+func (a *activeRequest) wanted(ctx context.Context) bool {
+	if ctx.Err() == nil && a.req.Gone != nil && a.req.Gone() {
+		a.g.metrics.abandoned.Inc()
+		a.abandon()
+	}
+	return ctx.Err() == nil
+}
+
 // isFinal reports whether the response goes to the caller. An idempotent
 // request that failed at its target may go to another one. The status of a
 // request that may have run must not promise that it did not run.
--- a/internal/upstream/proceed_test.go
+++ b/internal/upstream/proceed_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
@@ -59,3 +60,32 @@
 		t.Errorf("interim headers %v, final headers %v", resp.Interim, resp.Header)
 	}
 }
+
+// Guards against a request that is written although its context ended while it waited
+// for a connection, new or idle.
+func TestEndedRequestIsNotWritten(t *testing.T) {
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer server.Close()
+	const each = 100
+	for range each {
+		pool := NewPool()
+		for range 2 { // on a new connection, then on the same one
+			ctx, cancel := context.WithCancel(context.Background())
+			_, failure := pool.Do(ctx, &Request{
+				Addr: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, MaxBufferedBytes: 1 << 10,
+				Proceed: func() bool { cancel(); return true },
+			})
+			if failure == nil || failure.Outcome() != errkind.NotRun {
+				t.Fatalf("got %v, want a failure that says that nothing was sent", failure)
+			}
+		}
+		if pool.Dials() != 1 {
+			t.Fatalf("%d connections were opened, want one that is kept", pool.Dials())
+		}
+	}
+	time.Sleep(50 * time.Millisecond) // A request that was sent has arrived by now.
+	if n := requests.Load(); n > 0 {
+		t.Errorf("%d of %d ended requests were sent", n, 2*each)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -51,8 +51,8 @@
 // connections.
 var ErrResetBeforeRequest = errors.New("the target reset the new connection")
 
-// ErrWithdrawn is the cause of TargetUnreachable when Request.Proceed stopped a
-// request before it was sent.
+// ErrWithdrawn is the cause of TargetUnreachable when ctx had ended or Request.Proceed
+// stopped a request before it was sent.
 var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
 
 // Request is a request to a target.
@@ -124,7 +124,9 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.TargetUnreachable, err, "no connection to %s", req.Addr)
 	}
-	if req.Proceed != nil && !req.Proceed() {
+	// The wait for a connection may have been long, and aborting the connection after
+	// the write doesn't take back what the kernel has sent.
+	if req.Proceed != nil && !req.Proceed() || ctx.Err() != nil {
 		p.keepUnused(req.Addr, c)
 		return nil, errkind.Wrap(errkind.TargetUnreachable, ErrWithdrawn, "nothing was sent to %s", req.Addr)
 	}
