Compute an entry's share of a cold target once

What callers saw: entries ran up to 1.3 s behind while many targets were replaced, and work went on for callers that had left (GONE).

Cause: each choice of a target asked for the entry's share of each cold target, which built a list of all entries, hashed and sorted it. With 91 entries and 281 cold targets a choice allocated 3.7 MB.

Change: the share is kept with the target until the list of entries or the permitted rate changes, as shares of limits are, and the position of an entry is counted instead of sorted. Preferred targets are kept over deltas without targets and entries.

TestChoiceCostsAboutTheSameAmongColdTargets failed before: 3,749,449 bytes a choice among cold targets and 29,769 among warm ones; now 18,792 and 14,243.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -61,8 +61,8 @@
 		return choice{}, failure
 	}
 	preferred := g.subset(view, a.service)
-	var candidates []placement.Candidate
-	var choices []choice
+	candidates := make([]placement.Candidate, 0, len(endpoints))
+	choices := make([]choice, 0, len(endpoints))
 	for _, e := range endpoints {
 		t := g.stateOf(e)
 		if !t.Accepts(now, t.InFlight) {
@@ -76,7 +76,7 @@
 		if until := t.BlockedUntil(); a.sharded && until > now && until < a.deadline {
 			a.usableAt = until
 		}
-		if t.Blocked(now) || cold && (!t.ColdReady(now) || g.coldInterval(view, service, e) == 0) {
+		if t.Blocked(now) || cold && (!t.ColdReady(now) || g.coldInterval(view, service, e, t) == 0) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
@@ -108,7 +108,7 @@
 		}
 	}
 	if candidates[i].Cold {
-		choices[i].state.AllowCold(now, g.coldInterval(view, service, choices[i].endpoint))
+		choices[i].state.AllowCold(now, g.coldInterval(view, service, choices[i].endpoint, choices[i].state))
 	}
 	a.takeLimit(choices[i], now)
 	choices[i].state.Started()
@@ -129,7 +129,7 @@
 		}
 		all = []*fleet.Endpoint{owner}
 	}
-	var fit []*fleet.Endpoint
+	fit := make([]*fleet.Endpoint, 0, len(all))
 	for _, e := range all {
 		if a.allowed(view, e) {
 			fit = append(fit, e)
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -10,10 +10,32 @@
 	"github.com/flamingoreel/flamingoreel/internal/placement"
 )
 
+// knownColdInterval is the interval of a cold target and what it was computed from.
+type knownColdInterval struct {
+	permitted float64
+	entries   *fleet.Entry
+	interval  time.Duration
+}
+
 // coldInterval returns the time between two requests of this entry VM to a cold
-// target, or 0 if it may send none.
-func (g *Gateway) coldInterval(view *fleet.View, service items.Service, e *fleet.Endpoint) time.Duration {
-	return placement.ColdInterval(service.ColdRate*g.cfg.ColdFactor+g.cfg.ColdSlack, e.ID, g.cfg.Addr, g.sharers(view, e))
+// target, or 0 if it may send none. Each choice asks it for each cold target, so it is
+// computed once; the mutex is held.
+func (g *Gateway) coldInterval(view *fleet.View, service items.Service, e *fleet.Endpoint, t *targetState) time.Duration {
+	permitted, entries := service.ColdRate*g.cfg.ColdFactor+g.cfg.ColdSlack, firstEntry(view)
+	if known := t.coldInterval; known == nil || known.permitted != permitted || known.entries != entries {
+		interval := placement.ColdInterval(permitted, e.ID, g.cfg.Addr, g.sharers(view, e))
+		t.coldInterval = &knownColdInterval{permitted, entries, interval}
+	}
+	return t.coldInterval.interval
+}
+
+// firstEntry identifies the list of entry VMs of a view: a view keeps the list of the one
+// before it until an entry VM comes or goes. It returns nil for an empty list.
+func firstEntry(view *fleet.View) *fleet.Entry {
+	if list := view.Entries(); len(list) > 0 {
+		return &list[0]
+	}
+	return nil
 }
 
 // sharers returns the recorded entry VMs, which may send to a target.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -200,7 +200,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.view.Store(next)
-	clear(g.subsets)
+	if len(answer.Delta.Targets)+len(answer.Delta.Entries) > 0 {
+		clear(g.subsets)
+	}
 	g.dropGoneTargets(next)
 	g.wakeWaiting()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,7 @@
 	// healthNamesLimit reports that the responses to health checks name the limit, so
 	// that one without a limit shows its end.
 	healthNamesLimit bool
+	coldInterval     *knownColdInterval
 	// coldUntil comes from the target's own health check.
 	coldUntil time.Duration
 	// recovering reports that a goroutine checks the target until it is
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -56,11 +56,7 @@
 // shareLimit brings this VM's share of a target's limit up to date and returns it; the
 // mutex is held.
 func (g *Gateway) shareLimit(view *fleet.View, e *fleet.Endpoint, t *targetState) placement.LimitShare {
-	// A view keeps the list of the one before it until an entry VM comes or goes.
-	var entries *fleet.Entry
-	if list := view.Entries(); len(list) > 0 {
-		entries = &list[0]
-	}
+	entries := firstEntry(view)
 	if known := t.limitShare; known == nil || known.rate != t.throttle.Rate() || known.entries != entries {
 		share := placement.ShareLimit(t.throttle.Rate(), e.ID, g.cfg.Addr, g.limitSharers(view, e))
 		t.limitShare = &knownShare{t.throttle.Rate(), entries, share}
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -38,33 +38,46 @@
 	if each := share / max(len(entries), 1); each > 0 && slices.ContainsFunc(entries, func(s Entry) bool { return s.Addr == self }) {
 		return coldPeriod / time.Duration(each)
 	}
-	ranked := rankEntries(target, entries)
-	for _, e := range ranked[:min(share, len(ranked))] {
-		if e.Addr == self {
-			return coldPeriod
-		}
+	if i, ok := rank(target, self, entries); ok && i < share {
+		return coldPeriod
 	}
 	return 0
 }
 
-// rankEntries returns the entries in the order in which they get shares of a target that
-// takes fewer requests than there are entries: those in the target's region first, and
-// within that by a hash of target and entry, so that different targets use different
-// entries.
-func rankEntries(target string, entries []Entry) []Entry {
-	ranked := slices.Clone(entries)
-	hashes := make(map[string]uint64, len(entries))
-	for _, e := range entries {
-		hashes[e.Addr] = xxhash.Sum64String(target + "\x00" + e.Addr)
+// rank returns the position of the entry self in the order in which entries get shares
+// of a target that takes fewer requests than there are entries: those in the target's
+// region first, and within that by a hash of target and entry, so that different targets
+// use different entries. It is false if self is not among the entries.
+//
+// It compares self with each other entry instead of sorting them: an entry needs its
+// position at hundreds of targets at once when these are replaced.
+func rank(target, self string, entries []Entry) (int, bool) {
+	i := slices.IndexFunc(entries, func(e Entry) bool { return e.Addr == self })
+	if i < 0 {
+		return 0, false
 	}
-	slices.SortFunc(ranked, func(a, b Entry) int {
-		if a.Near != b.Near {
-			if a.Near {
-				return -1
+	own, ahead := entries[i], 0
+	ownHash := hashOf(target, self)
+	for _, e := range entries {
+		if e.Near != own.Near {
+			if e.Near {
+				ahead++
 			}
-			return 1
+			continue
+		}
+		if cmp.Or(cmp.Compare(hashOf(target, e.Addr), ownHash), cmp.Compare(e.Addr, self)) < 0 {
+			ahead++
 		}
-		return cmp.Or(cmp.Compare(hashes[a.Addr], hashes[b.Addr]), cmp.Compare(a.Addr, b.Addr))
-	})
-	return ranked
+	}
+	return ahead, true
+}
+
+// hashOf returns a hash of a target and an entry.
+func hashOf(target, entry string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(target)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(entry)
+	return d.Sum64()
 }
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -41,7 +40,7 @@
 // ShareLimit returns the share of the entry self in a limit of rate requests per
 // second. An entry knows neither what others send nor whether they know of the limit,
 // so the rate is divided evenly. If there are many entries, only the first ones of
-// rankEntries get a share.
+// rank get a share.
 //
 // Invariant: in any time all sharers together send at most rate times that time, plus
 // rate + minLimitSharers requests if their intervals begin at the same moment.
@@ -49,10 +48,9 @@
 	if !(rate > 0) {
 		return LimitShare{}
 	}
-	ranked := rankEntries(target, entries)
-	sharers := int(math.Min(float64(len(ranked)), minLimitSharers+math.Floor(rate)))
-	i := slices.IndexFunc(ranked[:sharers], func(e Entry) bool { return e.Addr == self })
-	if i < 0 {
+	sharers := int(math.Min(float64(len(entries)), minLimitSharers+math.Floor(rate)))
+	i, ok := rank(target, self, entries)
+	if !ok || i >= sharers {
 		return LimitShare{}
 	}
 	seconds := math.Min(float64(sharers)/(limitShare*rate), maxLimitInterval.Seconds())
