Close idle connections on which a target sends bytes

What callers saw: nothing here; other operators report memory taken by bytes without end. Looked at: responses to requests and to health checks of eight faulty targets at once beside a sound one, and bytes on idle connections. Relayed responses are bounded by the memory reserved for relaying.

Cause: an idle connection was looked at only when it was taken for a request.

TestBytesOnIdleConnectionsCloseThem failed before.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -292,3 +292,25 @@
 		}
 	}
 }
+
+// Guards against a faulty target that sends bytes without end on idle connections: they
+// wait in the kernel, where they count towards the memory of the VM.
+func TestBytesOnIdleConnectionsCloseThem(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	f := startTarget(t, func(c net.Conn, _ int) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3600\r\nContent-Length: 2\r\n\r\nok")
+		time.Sleep(20 * time.Millisecond) // The connection is idle by then.
+		for err == nil {
+			_, err = c.Write(make([]byte, 4096))
+		}
+		closed <- struct{}{}
+		return false
+	})
+	p := NewPool()
+	if _, failure := p.Do(context.Background(), get(f.addr)); failure != nil {
+		t.Fatal(failure)
+	}
+	time.Sleep(100 * time.Millisecond)
+	p.CloseExpired()
+	expectClosed(t, closed)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -277,7 +277,9 @@
 	}
 }
 
-// CloseExpired closes idle connections whose idle time is over.
+// CloseExpired closes idle connections whose idle time is over, that their target has
+// closed, or on which it sent bytes that belong to no request. Such bytes wait in the
+// kernel, where they count towards the memory of the VM.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
 	var old []*conn
@@ -285,7 +287,7 @@
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.usableUntil) {
+			if now.Before(c.usableUntil) && c.usable() {
 				kept = append(kept, c)
 			} else {
 				old = append(old, c)
