Bound the bytes of relayed requests before they are received

Cause: memory for relayed requests was reserved only after a request had been received; each link could hold 64 MiB before that, and senders copied every body at the same time.

Change: a node refuses long requests that exceed a bound over all links before it receives them, and an entry relays only as many bodies at once as fit into the same bound.

Ruled out: a smaller budget for each link, because the number of links isn't bounded; waiting for room instead of refusing, because what waits keeps the memory of the sender and most peers are not full.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,10 @@
 	linkBudget *reach.LinkBudget
 	rng        *rand.Rand
 
-	relayLimit *relayLimiter
+	// relayLimit bounds the requests that this VM serves for others, relayCopies the
+	// copies of bodies that it sends to others.
+	relayLimit, relayCopies *relayLimiter
+
 	stopping   stopping
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -173,7 +176,11 @@
 
 // New starts a gateway. It can serve once Ready reports true.
 func New(cfg Config) (*Gateway, error) {
-	links, err := link.Listen(watch.LinkConfig(cfg.Addr, cfg.Seed, cfg.Logger))
+	relayLimit := newRelayLimiter(cfg.RelayBytes)
+	linkConfig := watch.LinkConfig(cfg.Addr, cfg.Seed, cfg.Logger)
+	// Only relayed requests are long; the limiter sees them once they were received.
+	linkConfig.MaxReceiving = max(relayLimit.maxBytes, maxRelayedBody+relayOverhead)
+	links, err := link.Listen(linkConfig)
 	if err != nil {
 		return nil, err
 	}
@@ -187,7 +194,7 @@
 		subsets:   make(map[string]map[string]bool),
 		samples:   make(map[string]*registry.Samples), stopping: newStopping(),
 		path: reach.NewPath(), relayPeers: reach.NewPeers(reach.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}),
-		relayLimit: newRelayLimiter(cfg.RelayBytes), linkBudget: reach.NewLinkBudget(cfg.LinkBytes),
+		relayLimit: relayLimit, relayCopies: newRelayLimiter(cfg.RelayBytes), linkBudget: reach.NewLinkBudget(cfg.LinkBytes),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	g.view.Store(fleet.NewView())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,6 +51,12 @@
 	if a.outlastsStop() {
 		return a.failureResult(errStopping()), true
 	}
+	// The message for a peer is a copy of the body.
+	size := int64(len(a.req.Body))
+	if !a.g.relayCopies.reserve(size) {
+		return Result{}, false
+	}
+	defer a.g.relayCopies.bytes.Add(-size)
 	var tried []string
 	for len(tried) < maxRelayPeers && ctx.Err() == nil && !a.g.stopping.ended() {
 		peer, ok := a.choosePeer(tried)
--- a/internal/gateway/relay_messages.go
+++ b/internal/gateway/relay_messages.go
@@ -93,6 +93,8 @@
 	// maxRelayedBody bounds the body of a relayed request and of its response, in
 	// bytes. Both are held whole by both VMs.
 	maxRelayedBody = 4 << 20
+	// relayOverhead is the room for the headers of the longest relayed request.
+	relayOverhead = 1 << 20
 	// maxRelayed bounds the requests that a VM serves for others at the same time.
 	maxRelayed = 128
 	// defaultRelayBytes bounds the memory for them if Config sets no bound.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -112,6 +112,10 @@
 	// MaxHandlers bounds the handlers running for each peer; 0 means
 	// DefaultMaxHandlers. PriorityMethods have a separate limit.
 	MaxHandlers int
+	// MaxReceiving bounds in bytes the requests that are received or handled at the same
+	// time, over all links. Requests of one chunk and those of PriorityMethods don't
+	// count. Further ones are refused; 0 means no bound.
+	MaxReceiving int64
 	// PriorityMethods lists the methods of control traffic. All VMs of a cluster must
 	// list the same ones.
 	PriorityMethods []string
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +21,8 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 	closedByReason reasonCounts
+	// receiving is the size of the requests that count towards Config.MaxReceiving.
+	receiving atomic.Int64
 	// priority is the set of priority methods.
 	priority map[string]bool
 	// self holds the counters and the running handlers of calls to the node's own
@@ -92,6 +95,15 @@
 	return cfg
 }
 
+// reserveReceiving reserves room for a request. It reports false if there is none.
+func (n *Node) reserveReceiving(size int64) bool {
+	if n.receiving.Add(size) > n.cfg.MaxReceiving && n.cfg.MaxReceiving > 0 {
+		n.receiving.Add(-size)
+		return false
+	}
+	return true
+}
+
 // Addr returns the address that the node listens on.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
--- a/internal/link/requests.go
+++ b/internal/link/requests.go
@@ -27,6 +27,11 @@
 	deadline time.Time
 	in       *incoming
 	out      *outgoing
+	// reserved is the room that the request takes of Config.MaxReceiving. It is released
+	// when the handler ends, or with the stream if it was not started.
+	reserved int64
+	// refused says that the rest of the request is dropped.
+	refused bool
 	// cancel cancels the handler's context; nil before the handler is started.
 	cancel context.CancelCauseFunc
 }
@@ -38,7 +43,7 @@
 		return c.node.class(f.Name), c.beginRequest(f)
 	}
 	s := c.serverStreams[f.Stream]
-	if s == nil {
+	if s == nil || s.refused && f.Type != frameCancel {
 		return Traffic, checkRequestFrame(f)
 	}
 	switch f.Type {
@@ -78,11 +83,28 @@
 		s.deadline = time.Now().Add(left)
 	}
 	c.serverStreams[f.Stream] = s
+	if f.Number > ChunkSize && f.Number <= uint64(c.node.cfg.MaxMessage) && s.class != Control {
+		if !c.node.reserveReceiving(int64(f.Number)) {
+			c.refuse(s)
+			return nil
+		}
+		s.reserved = int64(f.Number)
+	}
 	m, err := c.beginMessage(f.Stream, s.class, f.Number)
 	s.in = m
 	return err
 }
 
+// refuse answers a request for which there is no room before it is received.
+func (c *conn) refuse(s *serverStream) {
+	s.refused = true
+	if s.oneWay {
+		delete(c.serverStreams, s.stream)
+		return
+	}
+	c.queueResponse(s, nil, errkind.New(errkind.Overloaded, "%s receives too many bytes at the same time", c.node.cfg.Name))
+}
+
 // endRequest starts the handler of a complete request.
 func (c *conn) endRequest(s *serverStream, f *frame) error {
 	payload, err := c.completeMessage(s.in, f)
@@ -95,12 +117,15 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.node.ctx)
 	s.cancel = cancel
+	reserved := s.reserved
 	started := c.node.spawn(c.peer, s.method, func() {
 		defer cancel(nil)
+		defer c.node.receiving.Add(-reserved)
 		c.runHandler(ctx, s, payload)
 	})
 	if !started {
 		cancel(nil)
+		c.node.receiving.Add(-reserved)
 		c.queueResponse(s, nil, tooManyHandlers(c.node.cfg.Name))
 	}
 	return nil
@@ -158,6 +183,8 @@
 	delete(c.serverStreams, s.stream)
 	if s.cancel != nil {
 		s.cancel(cause)
+	} else {
+		c.node.receiving.Add(-s.reserved)
 	}
 	if s.out != nil {
 		s.out.done = true
