Wait for the unfinished body in the test of the memory for bodies

Cause, in the test: it sent whole bodies until one was refused, without knowing whether the unfinished body had its memory. One that was in progress at that moment takes the memory, the unfinished body is refused and closed, and then nothing is ever refused.

The test now waits until the memory is reserved, and the first whole body after that must be refused, which is stricter than one within 2 s.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -188,12 +188,21 @@
 	if _, err := io.WriteString(partial, post(capacity)[:capacity/2]); err != nil {
 		t.Fatal(err)
 	}
-	c, r := s.dial(t)
-	for end := time.Now().Add(2 * time.Second); roundTrip(t, c, r, post(capacity/2)) != http.StatusTooManyRequests; c, r = s.dial(t) {
+	available := func() int64 {
+		bodies.mu.Lock()
+		defer bodies.mu.Unlock()
+		return bodies.available
+	}
+	// A request before the unfinished body has its memory could take it away from it.
+	for end := time.Now().Add(5 * time.Second); available() >= capacity/2; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("a body was read although it and an unfinished body exceed the memory")
+			t.Fatal("no memory is reserved for an unfinished body")
 		}
 	}
+	c, r := s.dial(t)
+	if got := roundTrip(t, c, r, post(capacity/2)); got != http.StatusTooManyRequests {
+		t.Fatalf("got %d, want %d for a body that exceeds the memory together with an unfinished one", got, http.StatusTooManyRequests)
+	}
 	_ = partial.Close()
 	for end := time.Now().Add(2 * time.Second); ; {
 		c, r = s.dial(t)
