--- a/internal/controller/membership_property_test.go
+++ b/internal/controller/membership_property_test.go
@@ -50,7 +50,6 @@
 	wasLeading                      bool
 	lastHello, lastCheck, lastAsked time.Duration
 	shortSince                      time.Duration
-	membership                      uint64
 }
 
 // membershipSim runs the membership decisions of control VMs over their replicas in
@@ -122,7 +121,7 @@
 	}
 	vm.node, vm.roster = node, newRoster(simTolerated, simCatchUp)
 	vm.frozen, vm.isolated, vm.resigning, vm.wasLeading = false, false, false, false
-	vm.lastHello, vm.shortSince, vm.membership = 0, 0, 0
+	vm.lastHello, vm.shortSince = 0, 0
 	vm.applied, vm.acked = 0, make(map[string]bool)
 	if vm.snap != nil {
 		vm.restore(*vm.snap)
@@ -388,15 +387,15 @@
 	if s.rng.IntN(3) == 0 && s.leader() != nil {
 		vm = s.leader()
 	}
+	if vm == nil || vm.lostUntil > s.now || vm.resigning || vm.isolated {
+		return
+	}
 	serving := 0
 	for _, other := range s.vms {
 		if !other.gone {
 			serving++
 		}
 	}
-	if vm == nil || vm.lostUntil > s.now || vm.resigning || vm.isolated {
-		return
-	}
 	brief := time.Duration(200+s.rng.IntN(2800)) * time.Millisecond
 	restart := func(wipe bool) {
 		s.loseFor(vm, brief)
