Let the caller of a test leave once the target has its request

Cause: the caller left by a timer 10 ms after the test began, and a request whose caller has left isn't sent at all. Without processor time for 10 ms the timer came before the first send.

Change: the caller leaves when the first target has the request. The test of a request that waits for its holder had the same shape with two timers (20 and 60 ms); there the caller now leaves right before the key gets its holder.

Ruled out: the product sending less than it should: no caller waits for an answer to a request that is not sent because its caller has left.

--- a/internal/gateway/abandoned_test.go
+++ b/internal/gateway/abandoned_test.go
@@ -23,14 +23,10 @@
 	}
 }
 
-// leaveAfter returns a request whose caller leaves after d.
-func leaveAfter(d time.Duration, id string) *Request {
+// requestOfGone returns a request whose caller has left.
+func requestOfGone(id string) *Request {
 	l := &leaver{}
-	if d == 0 {
-		l.left.Store(true)
-	} else {
-		time.AfterFunc(d, func() { l.left.Store(true) })
-	}
+	l.left.Store(true)
 	return l.request(id)
 }
 
@@ -40,7 +36,7 @@
 	target := newTarget(t, signed)
 	b := newTestbed(t, target)
 	for range 50 {
-		if r := b.g.Serve(context.Background(), leaveAfter(0, "1")); r.Err == nil || r.Err.Outcome() != errkind.NotRun {
+		if r := b.g.Serve(context.Background(), requestOfGone("1")); r.Err == nil || r.Err.Outcome() != errkind.NotRun {
 			t.Fatalf("got %+v, want a failure that says that nothing was sent", r)
 		}
 	}
@@ -51,13 +47,14 @@
 
 // Guards against a retry for a caller that left while the request waited for it.
 func TestRetryOfACallerThatLeftIsNotSent(t *testing.T) {
-	slowlyBroken := func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(40 * time.Millisecond)
+	caller := &leaver{}
+	leftAndBroken := func(w http.ResponseWriter, r *http.Request) {
+		caller.left.Store(true)
 		broken(w, r)
 	}
-	first, second := newTarget(t, slowlyBroken), newTarget(t, slowlyBroken)
+	first, second := newTarget(t, leftAndBroken), newTarget(t, leftAndBroken)
 	b := newTestbed(t, first, second)
-	b.g.Serve(context.Background(), leaveAfter(10*time.Millisecond, "1"))
+	b.g.Serve(context.Background(), caller.request("1"))
 	if n := first.count() + second.count(); n != 1 {
 		t.Errorf("targets got %d requests, want only the one before the caller left", n)
 	}
@@ -71,9 +68,11 @@
 	b.put(fleet.Delta{Items: []items.Item{{
 		Key: items.Key{Collection: items.Services, Name: "s"}, Version: 2, Service: &items.Service{HealthPath: "/health", Sharded: true},
 	}}})
-	req := leaveAfter(20*time.Millisecond, "1")
+	caller := &leaver{}
+	req := caller.request("1")
 	req.Key = 7
 	time.AfterFunc(60*time.Millisecond, func() {
+		caller.left.Store(true)
 		b.put(fleet.Delta{ShardMaps: []fleet.ShardMap{{Service: "s", Rows: []fleet.Row{
 			{From: 0, To: fleet.MaxKey, Fence: 1, Holder: fleet.Incarnation{ID: "t0", StartMs: 1}, Granted: true},
 		}}}})
@@ -92,7 +91,7 @@
 		relayed.Add(1)
 		return nil, errkind.New(errkind.Internal, "not expected")
 	})
-	req := leaveAfter(0, "1")
+	req := requestOfGone("1")
 	req.URI, req.Path = "/post/x", "/post/x"
 	bed.g.Serve(context.Background(), req)
 	if n := relayed.Load(); n > 0 {
