Refuse no request whose crashes another refused one explains

What callers saw: a sound request could be refused with known_crasher for ten minutes.

Cause, from the records at the fault: a crashing request ends all targets within 0.3 s of the start. A read that has not completed yet is in flight at three of these crashes, so it counts as a crasher too. Once all VMs refuse it, nobody sends it, and nothing can clear it.

Change: ambiguous crashes at each of which a fingerprint with more crashes was in flight do not refuse. The request stays suspected, so it runs alone, and either completes or has a crash of its own that counts. For that the last 32 crashes of a fingerprint are kept instead of 4 (32 bytes each, at most 4096 fingerprints).

Cost: where a sound request has more crashes than a crasher, the crasher may cause one more crash before it is refused.

--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -20,8 +20,10 @@
 	// applies where targets are shared, so that no VM sees all requests of a
 	// target. A fingerprint is cleared when its request completes on any target.
 	ambiguousCrashesToRefuse = 3
-	// maxCrashes bounds the crashes kept for one fingerprint.
-	maxCrashes = 4
+	// maxCrashes bounds the crashes kept for one fingerprint: more than a request
+	// causes before all VMs refuse it, so that those of a crasher include all at which
+	// other requests were in flight.
+	maxCrashes = 32
 	// maxFingerprints bounds the fingerprints that are kept, and maxPending the
 	// suspicions that wait to be sent. The oldest are dropped.
 	maxFingerprints = 4096
@@ -44,7 +46,8 @@
 
 // Crashes counts target crashes by the fingerprints of the requests in flight.
 // A fingerprint with two different crashes, at least one of them certain, is
-// refused. Crashes is safe for concurrent use.
+// refused. Ambiguous crashes that a refused fingerprint explains refuse no other one;
+// see isExplained. Crashes is safe for concurrent use.
 type Crashes struct {
 	// sharedTargets reports whether a fingerprint is also refused after
 	// ambiguousCrashesToRefuse ambiguous crashes.
@@ -54,6 +57,8 @@
 	records     map[uint64]*list.Element // of *crashRecord
 	byLastCrash *list.List               // least recently crashed first
 	pending     []Suspicion              // to be returned by Drain
+	// changes counts the changes of records.
+	changes uint64
 }
 
 type crashRecord struct {
@@ -62,6 +67,13 @@
 	crashes     []crash
 	// spread reports that other VMs may have a suspicion of the fingerprint.
 	spread bool
+	// explained is the result of isExplained after explainedAt changes.
+	explained   bool
+	explainedAt uint64
+}
+
+func (r *crashRecord) has(k crash) bool {
+	return slices.ContainsFunc(r.crashes, func(known crash) bool { return known.target == k.target && known.incarnation == k.incarnation })
 }
 
 // evictOldest removes the oldest ambiguous crash, or the oldest crash if all are
@@ -159,6 +171,7 @@
 	if s.Cleared {
 		return c.clear(s.Fingerprint)
 	}
+	c.changes++
 	record := c.getOrCreate(s.Fingerprint)
 	record.lastCrash = max(record.lastCrash, now)
 	c.byLastCrash.MoveToBack(c.records[s.Fingerprint])
@@ -183,6 +196,7 @@
 	if !ok {
 		return false
 	}
+	c.changes++
 	record := element.Value.(*crashRecord)
 	record.crashes = slices.DeleteFunc(record.crashes, func(k crash) bool { return !k.certain })
 	if len(record.crashes) == 0 {
@@ -204,6 +218,7 @@
 }
 
 func (c *Crashes) remove(element *list.Element) {
+	c.changes++
 	delete(c.records, element.Value.(*crashRecord).fingerprint)
 	c.byLastCrash.Remove(element)
 }
@@ -217,10 +232,29 @@
 	if record == nil || len(record.crashes) < crashesToRefuse {
 		return false
 	}
-	if c.sharedTargets && len(record.crashes) >= ambiguousCrashesToRefuse {
+	if slices.ContainsFunc(record.crashes, func(k crash) bool { return k.certain }) {
 		return true
 	}
-	return slices.ContainsFunc(record.crashes, func(k crash) bool { return k.certain })
+	return c.sharedTargets && len(record.crashes) >= ambiguousCrashesToRefuse && !c.isExplained(record)
+}
+
+// isExplained reports whether at each crash of a record a fingerprint with more
+// crashes was in flight. That one is refused, or explained by others that are: the
+// one with the most crashes is never explained. A request whose crashes are all
+// explained is suspected, so it runs alone, and either completes or has a crash that
+// counts against it.
+func (c *Crashes) isExplained(r *crashRecord) bool {
+	if r.explainedAt == c.changes {
+		return r.explained
+	}
+	left := slices.Clone(r.crashes)
+	for element := c.byLastCrash.Back(); element != nil && len(left) > 0; element = element.Prev() {
+		if other := element.Value.(*crashRecord); len(other.crashes) > len(r.crashes) {
+			left = slices.DeleteFunc(left, other.has)
+		}
+	}
+	r.explained, r.explainedAt = len(left) == 0, c.changes
+	return r.explained
 }
 
 // CountRefused returns the number of fingerprints that are refused.
