Run copies of a suspected request alone also if their queries differ

Cause: a suspected request runs alone on a VM, but only its first fingerprint was compared, which has the caller and the query. Copies with other queries ran beside each other although the fingerprint of their path had a crash on record.

Change: a request waits for one in progress with which it shares any fingerprint that was in flight at a crash. A completed request clears it, as before.

Test: TestCopiesWithOtherQueriesRunAlone fails before.

--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -61,7 +61,7 @@
 	// proven holds when a request with a fingerprint last completed. Once it is full,
 	// it replaces olderProven.
 	proven, olderProven map[uint64]time.Duration
-	// running counts the requests in progress by their first fingerprint.
+	// running counts the requests in progress by each of their fingerprints.
 	running map[uint64]int
 	// dropped counts the losses that were dropped without evidence of a crash.
 	dropped int
@@ -222,16 +222,19 @@
 }
 
 // Begin records that a request is about to be sent. It reports false, and records
-// nothing, if the request is suspected and another one with its fingerprint is in
-// progress. The caller calls End for each request that Begin accepted.
+// nothing, if the request is suspected and another one in progress shares a suspected
+// fingerprint with it. The caller calls End for each request that Begin accepted.
 func (s *Suspects) Begin(now time.Duration, fingerprints []uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	exact := fingerprints[0]
-	if s.running[exact] > 0 && s.judge(now, fingerprints) != Sound {
-		return false
+	for i, f := range fingerprints {
+		if s.running[f] > 0 && (i == 0 && s.judge(now, fingerprints) != Sound || s.MustRunAlone(now, f)) {
+			return false
+		}
+	}
+	for _, f := range fingerprints {
+		s.running[f]++
 	}
-	s.running[exact]++
 	return true
 }
 
@@ -239,9 +242,10 @@
 func (s *Suspects) End(fingerprints []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	exact := fingerprints[0]
-	if s.running[exact]--; s.running[exact] <= 0 {
-		delete(s.running, exact)
+	for _, f := range fingerprints {
+		if s.running[f]--; s.running[f] <= 0 {
+			delete(s.running, f)
+		}
 	}
 }
 
--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -314,6 +314,27 @@
 	}
 }
 
+// Guards against copies of a crashing request that run at the same time because each
+// has another query.
+func TestCopiesWithOtherQueriesRunAlone(t *testing.T) {
+	s := NewSuspects()
+	const path = 1
+	s.Lost(0, Process{"t", 1}, []uint64{10, path})
+	s.Ended(0, Process{"t", 1})
+	first, second := []uint64{11, path}, []uint64{12, path}
+	if !s.Begin(0, first) || s.Begin(0, second) {
+		t.Error("copies of a suspected request run at the same time, or none runs")
+	}
+	s.End(first)
+	if !s.Begin(0, second) {
+		t.Error("the next copy isn't sent although none is in progress")
+	}
+	s.Completed(0, second)
+	if !s.Begin(0, first) {
+		t.Error("copies of a request that completed still run alone")
+	}
+}
+
 // Guards against suspicions that are lost with the message that should carry them.
 func TestUnsentSuspicionsAreKept(t *testing.T) {
 	s := NewSuspects()
