Let the targets of the soak know which entry VM sent a request

Cause: the targets of the soak took the entry VM from the ID of the request, which names the one that the caller chose. An isolated entry VM has its requests relayed, so another one sends them.

Ruled out: a leave that entry-2 didn't heed: it had no path to the target then.

--- a/cmd/flamingoreeld/soak_test.go
+++ b/cmd/flamingoreeld/soak_test.go
@@ -123,7 +123,7 @@
 			proxy.paths = s.paths
 			target := startPlatformTarget(t, &platformTarget{
 				id: fmt.Sprint(service, "-", i), service: service, zone: fmt.Sprint("z", i%2+1), sharded: service == "reports",
-				controls: s.controls, serviceTime: 20 * time.Millisecond, announcedAddr: proxy.listener.Addr().String(), proxy: proxy, crashes: &s.crashes,
+				controls: s.controls, serviceTime: 20 * time.Millisecond, announcedAddr: proxy.listener.Addr().String(), proxy: proxy, paths: s.paths, crashes: &s.crashes,
 			})
 			s.targets, s.proxies = append(s.targets, target), append(s.proxies, proxy)
 		}
