End the test of the limit after a pause where there is no limit

Without the limit, the fault that it guards against, the test sent requests for ever and held up the run (seen in a trial in which pauses are ignored); it now fails after 100 of them: '100 requests in flight 0s after the pause, want 1'.

--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -49,7 +49,7 @@
 	a.Pause(0, time.Second)
 	sent := 0
 	for now := time.Second; now < time.Second+rampTime; now += rampStep {
-		for a.Accepts(now, sent) {
+		for sent < 100 && a.Accepts(now, sent) {
 			sent++
 		}
 		if want := 1 + int((now-time.Second)/rampStep); sent != want {
