--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -20,9 +20,9 @@
 	// applies where targets are shared, so that no VM sees all requests of a
 	// target. A fingerprint is cleared when its request completes on any target.
 	ambiguousCrashesToRefuse = 3
-	// maxCrashes bounds the crashes kept for one fingerprint: more than a request
-	// causes before all VMs refuse it, so that those of a crasher include all at which
-	// other requests were in flight.
+	// maxCrashes bounds the crashes kept for one fingerprint. One that is dropped no
+	// longer explains the crashes of others. A crashing request caused 28 in a fleet of
+	// 195 VMs before all of them refused it.
 	maxCrashes = 32
 	// maxFingerprints bounds the fingerprints that are kept, and maxPending the
 	// suspicions that wait to be sent. The oldest are dropped.
@@ -46,8 +46,9 @@
 
 // Crashes counts target crashes by the fingerprints of the requests in flight.
 // A fingerprint with two different crashes, at least one of them certain, is
-// refused. Ambiguous crashes that a refused fingerprint explains refuse no other one;
-// see isExplained. Crashes is safe for concurrent use.
+// refused. Where targets are shared, so is one with ambiguousCrashesToRefuse ambiguous
+// crashes, unless those of other fingerprints explain them; see isExplained. Crashes is
+// safe for concurrent use.
 type Crashes struct {
 	// sharedTargets reports whether a fingerprint is also refused after
 	// ambiguousCrashesToRefuse ambiguous crashes.
@@ -57,7 +58,8 @@
 	records     map[uint64]*list.Element // of *crashRecord
 	byLastCrash *list.List               // least recently crashed first
 	pending     []Suspicion              // to be returned by Drain
-	// changes counts the changes of records.
+	// changes counts the changes of records. Results of isExplained are kept until the
+	// next one.
 	changes uint64
 }
 
@@ -67,7 +69,7 @@
 	crashes     []crash
 	// spread reports that other VMs may have a suspicion of the fingerprint.
 	spread bool
-	// explained is the result of isExplained after explainedAt changes.
+	// explained is the result of isExplained when Crashes.changes was explainedAt.
 	explained   bool
 	explainedAt uint64
 }
@@ -238,11 +240,11 @@
 	return c.sharedTargets && len(record.crashes) >= ambiguousCrashesToRefuse && !c.isExplained(record)
 }
 
-// isExplained reports whether at each crash of a record a fingerprint with more
-// crashes was in flight. That one is refused, or explained by others that are: the
-// one with the most crashes is never explained. A request whose crashes are all
-// explained is suspected, so it runs alone, and either completes or has a crash that
-// counts against it.
+// isExplained reports whether at each crash of a record another fingerprint with more
+// crashes was in flight. Each of those is refused, or its crashes are explained by
+// fingerprints with still more: those of the one with the most never are. A request
+// whose crashes are explained is only suspected, so it runs alone, and either completes
+// or has a crash that nothing explains.
 func (c *Crashes) isExplained(r *crashRecord) bool {
 	if r.explainedAt == c.changes {
 		return r.explained
