--- a/review/standins-2/recover.go
+++ b/review/standins-2/recover.go
@@ -44,11 +44,14 @@
 	if _, err := s.order("call=config.patch", change(9, "8s"), s.allControls(0)...); err != nil {
 		return err
 	}
-	time.Sleep(4 * time.Second)
-	// The final fault comes right after another change was acknowledged.
-	limits := []byte(`{"upsert":{"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"14000ms","version":"0000000b"}},"remove":{"routes":[]}}`)
-	if _, err := s.order("call=config.patch", limits, s.allControls(0)...); err != nil {
-		return err
+	// Further changes follow, of the limits. The final fault comes right after the last one
+	// was acknowledged.
+	for version := 11; version <= 14; version++ {
+		time.Sleep(time.Second)
+		limits := fmt.Sprintf(`{"upsert":{"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"%dms","version":"%08x"}},"remove":{"routes":[]}}`, 1000*version, version)
+		if _, err := s.order("call=config.patch", []byte(limits), s.allControls(0)...); err != nil {
+			return err
+		}
 	}
 	sent, served := l.take()
 	s.note("platform", "before the final fault: %d of %d requests served", served, sent)
