--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/flamingoreeld ] && [ -x target/review-2/standins ] || { echo "not built"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-2/standins recover review/8/record.txt
+exec target/review-2/standins slow review/8/record.txt
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/flamingoreeld ] && [ -x target/review-2/standins ] || { echo "not built"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-2/standins regions review/9/record.txt
+exec target/review-2/standins recover review/9/record.txt
