--- a/review/standins-2/slow.go
+++ b/review/standins-2/slow.go
@@ -13,11 +13,11 @@
 // slowPercent is how long work takes at a slow endpoint, in percent of the usual time.
 const slowPercent = 1200
 
-// slowForAWhile lets the endpoints of a service be slow for nine seconds, three times. Afterwards
+// slowForAWhile lets the endpoints of a service be slow for nine seconds, five times. Afterwards
 // the entries still expect no response in time: they refuse the requests, and so they never
 // see that the endpoints have recovered.
 func slowForAWhile(s *system) error {
-	const entries, endpoints, spells = 3, 4, 3
+	const entries, endpoints, spells = 3, 4, 5
 	if err := s.startSmall(entries); err != nil {
 		return err
 	}
@@ -31,7 +31,7 @@
 	for i := range endpoints + 3 {
 		name, work := "ledger", 220*time.Millisecond
 		if i >= 3 {
-			name, work = "reporting", 500*time.Millisecond
+			name, work = "reporting", 550*time.Millisecond
 		}
 		srv, err := s.startServer(fmt.Sprintf("i-%d", i), name, fmt.Sprintf("%s.%d", s.prefix, 60+i), places[i%3], work, i >= 3, s.allControls(i)...)
 		if err != nil {
@@ -57,7 +57,7 @@
 		}
 	}
 	views := s.startLoad(stream{entries: entries, method: "GET", host: "ledger.example", prefix: "/view/", pause: 400 * time.Millisecond, deadline: 1500 * time.Millisecond})
-	pulls := s.startLoad(stream{entries: entries, method: "GET", host: "reporting.example", prefix: "/pull/", pause: 100 * time.Millisecond, deadline: 4 * time.Second, key: func() int { return rand.IntN(65536) }})
+	pulls := s.startLoad(stream{entries: entries, method: "GET", host: "reporting.example", prefix: "/pull/", pause: 110 * time.Millisecond, deadline: 4 * time.Second, key: func() int { return rand.IntN(65536) }})
 	report := func(when string) (first, later float64) {
 		vs, vd := views.take()
 		ps, pd := pulls.take()
