Don't take a response that was reset during its request as complete

Cause: the kernel reports the reset of a connection once. While a long body is written, the goroutine that writes it may receive the error; the read of the response then sees an ordinary end, which completes a response without a length.

Such a response is now complete only if the request was written without error. The reader asks the writer, for at most a second: a write that failed has ended by then unless the process wasn't scheduled, and a target that ended the response in order has a second to receive the rest of the request. A write that is still unfinished breaks the response. The result of the write can be asked for several times, since the pool also needs it. Responses with a length, chunked ones and those without a body don't depend on the write, as before.

Ruled out: a state of the socket (TCP_INFO) instead of the writer's result. It tells a reset from an orderly end, but not whether the request was written.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,9 +28,9 @@
 	nc      net.Conn
 	bounded *boundedReader
 	r       *bufio.Reader
-	// written receives the result of the write of a long body; nil if the write
-	// ended before the response was read.
-	written chan error
+	// writing is the write of a long request; nil if the write ended before the
+	// response was read.
+	writing *requestWrite
 	// completed counts the complete responses.
 	completed int
 	// usableUntil is the time after which the idle connection is no longer used.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -84,7 +84,11 @@
 	if resp.Length > MaxBodyBytes {
 		return nil, errkind.New(errkind.AnswerTooLarge, "response of %s has %d bytes", req.Addr, resp.Length)
 	}
-	if err := resp.readBody(head.Body, req.MaxBufferedBytes); err != nil {
+	body := io.Reader(head.Body)
+	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 && head.Body != http.NoBody {
+		body = closeDelimitedBody{head.Body, c}
+	}
+	if err := resp.readBody(body, req.MaxBufferedBytes); err != nil {
 		return nil, lost(err)
 	}
 	return resp, nil
@@ -92,7 +96,7 @@
 
 // readBody reads up to limit bytes of the body into Body and sets Rest if the
 // body is longer.
-func (r *Response) readBody(body io.ReadCloser, limit int) error {
+func (r *Response) readBody(body io.Reader, limit int) error {
 	if body == http.NoBody {
 		return nil
 	}
