Count responses that aren't valid HTTP/1.1 as lost

Cause: http.ReadResponse accepts heads that no correct server sends, and the parts of a response after such a head may be framed otherwise than the target meant: a length or transfer coding after a name with a blank is overlooked, status 000 passes as an interim response, a length beside a transfer coding is dropped, a coding in HTTP/1.0 is ignored.

The pool now reads the lines of a head itself, up to the empty one, and checks them in one pass (head.go): status line, status 100 to 599, names as tokens, no control bytes, no folded lines, CRLF, one meaning of Content-Length and Transfer-Encoding. It also reads the bodies itself, since net/http ties them to its heads; chunk sizes, extensions and trailers are checked (chunked.go). Interim responses pass the same check. A panic of the check fails the one response.

Cache-Control is no longer derived from Pragma, which http.ReadResponse did.

Ruled out: a check of the raw bytes before http.ReadResponse. It would parse each head twice.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,6 +28,8 @@
 	nc      net.Conn
 	bounded *boundedReader
 	r       *bufio.Reader
+	// rawHead is reused for the heads of responses.
+	rawHead []byte
 	// writing is the write of a long request; nil if the write ended before the
 	// response was read.
 	writing *requestWrite
--- a/internal/upstream/merged.go
+++ b/internal/upstream/merged.go
@@ -19,11 +19,13 @@
 // break off within a line and send the response to the request. The first part
 // would then determine the status of the second one, and whether it counts as a
 // refusal.
-func HasMergedHead(resp *http.Response) bool {
-	if containsStatusLine(resp.Status) {
+func HasMergedHead(resp *http.Response) bool { return hasMergedHead(resp.Status, resp.Header) }
+
+func hasMergedHead(reason string, header http.Header) bool {
+	if containsStatusLine(reason) {
 		return true
 	}
-	for _, values := range resp.Header {
+	for _, values := range header {
 		for _, value := range values {
 			if containsStatusLine(value) {
 				return true
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -74,8 +74,8 @@
 	if err != nil {
 		return nil, lost(errors.Join(err, c.writeError()))
 	}
-	resp := &Response{Status: head.StatusCode, Header: head.Header, Interim: interim, Length: head.ContentLength, Reused: c.completed > 0}
-	if head.Close {
+	resp := &Response{Status: head.status, Header: head.header, Interim: interim, Length: head.length, Reused: c.completed > 0}
+	if head.close {
 		resp.Header.Set("Connection", "close")
 	}
 	if req.Accept != nil && !req.Accept(resp) {
@@ -84,22 +84,18 @@
 	if resp.Length > MaxBodyBytes {
 		return nil, errkind.New(errkind.AnswerTooLarge, "response of %s has %d bytes", req.Addr, resp.Length)
 	}
-	body := io.Reader(head.Body)
-	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 && head.Body != http.NoBody {
-		body = closeDelimitedBody{head.Body, c}
-	}
-	if err := resp.readBody(body, req.MaxBufferedBytes); err != nil {
-		return nil, lost(err)
+	if head.hasBody {
+		if err := resp.readBody(c.newBody(head), req.MaxBufferedBytes); err != nil {
+			return nil, lost(err)
+		}
 	}
 	return resp, nil
 }
 
 // readBody reads up to limit bytes of the body into Body and sets Rest if the
 // body is longer.
-func (r *Response) readBody(body io.Reader, limit int) error {
-	if body == http.NoBody {
-		return nil
-	}
+func (r *Response) readBody(body io.Reader, limit int) (err error) {
+	defer errorFromPanic(&err)
 	if r.Length >= 0 && r.Length <= int64(limit) {
 		r.Body = make([]byte, r.Length)
 		n, err := io.ReadFull(body, r.Body)
@@ -132,7 +128,8 @@
 
 // readHead reads the status line and headers of the final response, and returns
 // the headers of the interim (1xx) responses before it.
-func (c *conn) readHead(req *Request) (final *http.Response, interim []http.Header, err error) {
+func (c *conn) readHead(req *Request) (final *head, interim []http.Header, err error) {
+	defer errorFromPanic(&err)
 	c.bounded.remaining = maxHeadBytes
 	defer func() { c.bounded.remaining = math.MaxInt64 }()
 	if _, err := c.r.Peek(1); err != nil {
@@ -142,7 +139,10 @@
 		return nil, nil, err
 	}
 	for range maxInterimResponses + 1 {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: req.Method})
+		raw, err := readRawHead(c.r, c.rawHead[:0])
+		if cap(raw) <= readBufferBytes {
+			c.rawHead = raw
+		}
 		if err != nil {
 			var timeout interface{ Timeout() bool }
 			if errors.As(err, &timeout) && timeout.Timeout() {
@@ -150,16 +150,17 @@
 			}
 			return nil, nil, err
 		}
-		if HasMergedHead(resp) {
-			return nil, nil, ErrMergedHead
+		h, err := parseHead(raw, req.Method)
+		if err != nil {
+			return nil, nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, interim, c.nc.SetReadDeadline(time.Time{})
+		if h.status >= http.StatusOK {
+			return h, interim, c.nc.SetReadDeadline(time.Time{})
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		if h.status == http.StatusSwitchingProtocols {
 			return nil, nil, errors.New("the target switched protocols")
 		}
-		interim = append(interim, resp.Header)
+		interim = append(interim, h.header)
 	}
 	return nil, nil, ErrUnbounded
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -29,7 +29,7 @@
 	if s.readErr != nil {
 		return 0, s.readErr
 	}
-	n, err := s.body.Read(p)
+	n, err := s.readBody(p)
 	s.remaining -= int64(n)
 	if s.remaining < 0 {
 		n, err = 0, ErrUnbounded
@@ -38,6 +38,11 @@
 	return n, err
 }
 
+func (s *Stream) readBody(p []byte) (n int, err error) {
+	defer errorFromPanic(&err)
+	return s.body.Read(p)
+}
+
 // Close returns the connection to the pool if the body was read to its end, and
 // aborts the connection otherwise.
 func (s *Stream) Close() error {
