Read the whole response to a health check before it counts

Cause: a health check looked at the first 64 KiB of a response and closed the rest unread, so a target counted as healthy by a body that was cut off, had an invalid chunk or trailer, or didn't end.

The rest is now read within the time limit of the check. A response of more than 320 KiB fails the check: a link of 450 KB/s carries about as much in that time, and no more is read of a body without end.

--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -11,7 +12,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 )
 
-// Timing of health checks.
+// Limits of health checks.
 const (
 	// firstCheckDelay is the delay before the first health check of a target
 	// that failed, and maxCheckDelay is the longest delay between two checks.
@@ -20,6 +21,9 @@
 	maxCheckDelay   = 4 * time.Second
 	// checkTimeout bounds one health check.
 	checkTimeout = 700 * time.Millisecond
+	// maxHealthBytes bounds the body of the response to a health check, in bytes. A link
+	// of 450 KB/s carries about as much within checkTimeout.
+	maxHealthBytes = 320 << 10
 	// forever blocks a target until it is unblocked.
 	forever = time.Duration(1<<63 - 1)
 )
@@ -95,6 +99,9 @@
 		return 0, false
 	}
 	defer resp.Close()
+	if !readHealth(resp) {
+		return 0, false
+	}
 	s := g.cfg.Dialect.Read(resp)
 	if s.Target == c.endpoint.ID {
 		s.Limit.Unknown = !g.healthNamesLimit(c, s.Limit)
@@ -102,3 +109,13 @@
 	}
 	return s.ColdFor, resp.Status == http.StatusOK && s.Target == c.endpoint.ID
 }
+
+// readHealth reads the rest of the response to a health check. It reports whether the
+// response is complete, valid and not too long.
+func readHealth(resp *upstream.Response) bool {
+	if resp.Rest == nil {
+		return true
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Rest, maxHealthBytes+1-int64(len(resp.Body))))
+	return err == nil && int64(len(resp.Body))+n <= maxHealthBytes
+}
