Check the responses that other entries relay

Cause: a relayed reply counted as a response by its status alone, up to 999. Its headers and the length of its body were not looked at, so an entry of another version, or a fault in one, could pass on a response that was cut off or that the entry itself would have refused from a target.

Anything else is a lost link, as a malformed reply was before: the request may have run.

Entries of earlier versions remove the transfer coding and send canonical names and the length of the body that they have read, so their valid replies pass.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -139,7 +139,10 @@
 		return nil, failure
 	}
 	reply := new(relayReply)
-	if err := wire.Unmarshal(data, reply); err != nil || !reply.valid() {
+	if err = wire.Unmarshal(data, reply); err == nil {
+		err = reply.check(a.req.Method)
+	}
+	if err != nil {
 		label = "malformed"
 		return nil, errkind.Wrap(errkind.LinkLost, err, "%s sent a malformed reply", addr)
 	}
@@ -188,7 +191,7 @@
 // relayedResult returns the result of a request that a peer handled.
 func (a *activeRequest) relayedResult(r *relayReply) Result {
 	if r.Kind == "" {
-		resp := &upstream.Response{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length}
+		resp := r.response()
 		a.g.noteRelayed(r.Answered, resp)
 		return Result{Response: resp}
 	}
--- a/internal/gateway/relay_messages.go
+++ b/internal/gateway/relay_messages.go
@@ -8,6 +8,7 @@
 	"github.com/flamingoreel/flamingoreel/internal/fleet"
 	"github.com/flamingoreel/flamingoreel/internal/items"
 	"github.com/flamingoreel/flamingoreel/internal/reach"
+	"github.com/flamingoreel/flamingoreel/internal/upstream"
 )
 
 // methodRelay is the link method by which an entry VM asks another one to serve a
@@ -62,13 +63,19 @@
 	Answered fleet.Incarnation `msgpack:"w"`
 }
 
-// valid reports whether the reply is a refusal, an error or a final response.
-func (r *relayReply) valid() bool {
-	return r.Declined != "" || r.Kind != "" || r.Status >= http.StatusOK && r.Status <= maxStatus
+// check returns an error unless the reply is a refusal, an error or a valid and
+// complete final response to a request with the given method.
+func (r *relayReply) check(method string) error {
+	if r.Declined != "" || r.Kind != "" {
+		return nil
+	}
+	return r.response().Check(method)
 }
 
-// maxStatus is the highest status of a response.
-const maxStatus = 999
+// response returns the target's response.
+func (r *relayReply) response() *upstream.Response {
+	return &upstream.Response{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length}
+}
 
 // outcome returns how the peer handled the request.
 func (r *relayReply) outcome() reach.Outcome {
