Check the responses that dispatchers read from targets

Cause: internal/target uses http.Transport, which accepts the same invalid heads, chunk sizes and trailers as http.ReadResponse.

The connections that the transport dials are wrapped. The wrapper reads each head and body with the code of the pool and passes on what is valid; in an invalid response, its Read fails, which the client reports as target_lost. Chunked bodies are encoded anew, without extensions and trailers, which the client drops anyway. The first byte of a head is passed on before the rest is checked, so that the transport still closes an idle connection on which anything arrives. A panic of the check is an error of the read: it would happen in a goroutine of the transport and end the process. The second status line in a head is found by the check, so that the client no longer looks for it itself.

A request isn't sent again: the transport repeats one after a failed read only if its body can be rewound, which TestRequestIsNeverSentTwice guards.

Ruled out: a pool of its own in internal/target. Its bound on connections and its idle times would have to be written again.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/upstream"
 )
 
 // Limits of the connections to one target.
@@ -60,7 +61,7 @@
 
 func newTransport(conns int, dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            checked(dial),
 		MaxConnsPerHost:        conns,
 		MaxIdleConns:           conns,
 		MaxIdleConnsPerHost:    conns,
@@ -71,6 +72,18 @@
 	}
 }
 
+// checked returns a dial function whose connections fail when the target sends a
+// response that isn't valid HTTP/1.1. http.Transport accepts some of them.
+func checked(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return upstream.NewCheckedConn(nc), nil
+	}
+}
+
 // Close closes the connections that carry no request.
 func (c *Client) Close() {
 	c.requests.CloseIdleConnections()
--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -72,7 +72,12 @@
 // exchange sends a request once and reads the complete response.
 func (c *Client) exchange(ctx context.Context, t *http.Transport, req Request) (Response, error) {
 	var conn atomic.Pointer[httptrace.GotConnInfo]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*upstream.CheckedConn); ok {
+			c.Expect(req.Method)
+		}
+		conn.Store(&info)
+	}}
 	r, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), req)
 	if err != nil {
 		return Response{}, errkind.Wrap(errkind.BadRequest, err, "request for %s", c.addr)
@@ -99,9 +104,6 @@
 // send a response once more, so one without an ID is accepted only from a
 // connection that carried no request before.
 func (c *Client) matches(resp *http.Response, conn httptrace.GotConnInfo) bool {
-	if upstream.HasMergedHead(resp) {
-		return false
-	}
 	id := resp.Header.Get(HeaderRequestID)
 	if id == "" {
 		return !conn.Reused
--- a/internal/upstream/merged.go
+++ b/internal/upstream/merged.go
@@ -14,13 +14,11 @@
 // statusLine matches the beginning of a status line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
 
-// HasMergedHead reports whether the head of a response contains the status line of
+// hasMergedHead reports whether the head of a response contains the status line of
 // another one. A faulty target may begin to send an earlier response once more,
 // break off within a line and send the response to the request. The first part
 // would then determine the status of the second one, and whether it counts as a
 // refusal.
-func HasMergedHead(resp *http.Response) bool { return hasMergedHead(resp.Status, resp.Header) }
-
 func hasMergedHead(reason string, header http.Header) bool {
 	if containsStatusLine(reason) {
 		return true
