Notice a caller that left behind unread bytes

Cause: Gone looked at the next byte of the connection. While bytes are unread, for example of a pipelined request, a later end of the connection was hidden behind them, and the request was sent to a target for a caller that had left.

Changed: the kernel is asked for POLLRDHUP, which is set once the peer's end has arrived, whatever is still unread.

Ruled out: reading on into a buffer, as it needs a bound at which the same question arises.

--- a/internal/callers/gone.go
+++ b/internal/callers/gone.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 
@@ -28,7 +27,9 @@
 	return func() bool { return closedByPeer(sc) }
 }
 
-// closedByPeer looks at the next byte of a connection without reading it.
+// closedByPeer asks the kernel whether the peer has closed its direction of a connection
+// or reset it. Bytes that were received before and not read don't hide that, as they
+// would if the next byte was looked at.
 func closedByPeer(sc syscall.Conn) bool {
 	raw, err := sc.SyscallConn()
 	if err != nil {
@@ -36,9 +37,9 @@
 	}
 	closed := false
 	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		n, _, failed := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = n == 0 && failed == nil || failed != nil && !errors.Is(failed, unix.EAGAIN) && !errors.Is(failed, unix.EINTR)
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, failed := unix.Poll(polled, 0)
+		closed = failed == nil && n > 0
 	})
 	return closed || err != nil
 }
