Serve callers with the pipelining server

Cause: entries served pipelined reads one after the other.

Changed: listenCallers uses callers.Server, which knows from Ingress.Stopping when a stop is about to begin: a connection then closes after the last request that was read, so that no response says "Connection: close" while later ones are due. The servers of a process share an interface, because the tests use both through one variable. A request that waited for earlier ones of its connection has only the rest of its timeout.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -54,8 +54,8 @@
 	// idleTimeout is how long a connection to the control, readiness or metrics
 	// address may stay idle.
 	idleTimeout = 75 * time.Second
-	// responseTimeout bounds the time from reading a request's headers to the end of
-	// its response. Callers wait for 12 s at most.
+	// responseTimeout bounds the time in which a response is written. Callers wait for
+	// 12 s at most.
 	responseTimeout = 2 * time.Minute
 	// softMemoryFraction is the fraction of the memory limit that the Go runtime gets
 	// as its soft limit: the garbage collector runs more often as memory use nears it.
@@ -150,8 +150,16 @@
 	return err
 }
 
+// httpServer is an *http.Server or, for callers, a *callers.Server.
+type httpServer interface {
+	Serve(net.Listener) error
+	SetKeepAlivesEnabled(bool)
+	Shutdown(context.Context) error
+	Close() error
+}
+
 // listen serves a handler on an address until the process ends.
-func (p *process) listen(addr string, handler http.Handler) (*http.Server, error) {
+func (p *process) listen(addr string, handler http.Handler) (httpServer, error) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -162,24 +170,26 @@
 }
 
 // listenCallers serves callers on an address within the limits of the configuration.
-func (p *process) listenCallers(ctx context.Context, addr string, ingress *platform.Ingress) (*http.Server, error) {
-	connected := ingress.Connections
-	server := &http.Server{
-		Handler: ingress, MaxHeaderBytes: callers.MaxHeadBytes, WriteTimeout: responseTimeout,
-		ConnState: connected.ConnState, ConnContext: connected.ConnContext,
+func (p *process) listenCallers(ctx context.Context, addr string, ingress *platform.Ingress) (httpServer, error) {
+	server := callers.NewServer(callers.ServerConfig{
+		Handler: ingress, Connections: ingress.Connections, Limits: ingress.Gateway.Limits, Stopping: ingress.Stopping.Load,
+		WriteTimeout: responseTimeout, MemoryBytes: p.settings.MemoryBytes, Logger: p.logger,
+	})
+	if p.registry != nil {
+		p.registry.MustRegister(server.Collectors()...)
 	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	go connected.Sweep(ctx, ingress.Gateway.Limits)
-	p.serve(connected.WrapListener(listener), server)
+	go ingress.Connections.Sweep(ctx, ingress.Gateway.Limits)
+	p.serve(listener, server)
 	return server, nil
 }
 
 // serve runs a server in the background until it is shut down; its failure ends
 // the process.
-func (p *process) serve(listener net.Listener, server *http.Server) {
+func (p *process) serve(listener net.Listener, server httpServer) {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.serverErrors <- err
@@ -187,7 +197,7 @@
 	}()
 }
 
-func (p *process) listenMetrics() (*http.Server, error) {
+func (p *process) listenMetrics() (httpServer, error) {
 	return p.listen(p.settings.MetricsAddr, promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 }
 
@@ -248,7 +258,7 @@
 // wait to be accepted, and while requests of other entry VMs are in progress.
 // Requests received from now on are refused, and all others get their final response
 // shortly before the limit.
-func drainCallers(g *gateway.Gateway, server *http.Server, connected *callers.Connections, limit time.Duration) error {
+func drainCallers(g *gateway.Gateway, server httpServer, connected *callers.Connections, limit time.Duration) error {
 	end := time.Now().Add(limit)
 	g.RefuseNew()
 	server.SetKeepAlivesEnabled(false)
