Log panics of callers' requests as internal fault

Cause: the page for operations names the event of such a fault, and the test of that page requires each error event to be named. The new event had another text.

--- a/internal/callers/exchange.go
+++ b/internal/callers/exchange.go
@@ -78,7 +78,7 @@
 		ok = false
 		// The process goes on: a fault of one request must not end the others.
 		if logger := e.conn.server.cfg.Logger; err != http.ErrAbortHandler && logger != nil {
-			logger.WithFields(log.Fields{"caller": e.req.RemoteAddr, "panic": err, "stack": string(debug.Stack())}).Error("internal fault while a request was served")
+			logger.WithFields(log.Fields{"caller": e.req.RemoteAddr, "panic": err, "stack": string(debug.Stack())}).Error("internal fault")
 		}
 	}()
 	e.handler().ServeHTTP(w, e.req)
