--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -180,18 +180,18 @@
 // interpret differently.
 func scanHead(head []byte) (headFields, error) {
 	var f headFields
-	lines := bytes.Split(head, []byte("\n"))
-	for _, line := range lines[1:] {
-		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	for line := range bytes.Lines(fields) {
+		if line[0] == ' ' || line[0] == '\t' {
 			return f, badRequest("folded header line")
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch {
-		case strings.EqualFold(string(name), "Host"):
+		case bytes.EqualFold(name, []byte("Host")):
 			f.hosts = append(f.hosts, string(bytes.TrimSpace(value)))
-		case strings.EqualFold(string(name), "Transfer-Encoding"):
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			f.transferEncoding++
-		case strings.EqualFold(string(name), "Content-Length"):
+		case bytes.EqualFold(name, []byte("Content-Length")):
 			f.lengths++
 		}
 	}
--- a/internal/callers/response.go
+++ b/internal/callers/response.go
@@ -186,6 +186,7 @@
 	}
 	if _, err := w.e.conn.rwc.Write(p); err != nil {
 		w.err, w.broken = err, true
+		w.e.conn.end()
 	}
 }
 
