Count requests that are refused because of their heads

Cause: a head over the limit was refused by the handler and counted by the gateway; the server now refuses it while it arrives, and nothing counted that.

--- a/internal/callers/pipeline.go
+++ b/internal/callers/pipeline.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,6 +97,7 @@
 func (c *conn) enqueue(req *http.Request, refused *refusal) *exchange {
 	e := &exchange{conn: c, refusal: refused, readAt: time.Now(), turn: make(chan struct{})}
 	if refused != nil {
+		c.server.metrics.refused.WithLabelValues(strconv.Itoa(refused.status)).Inc()
 		req = &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: make(http.Header), Body: http.NoBody}
 	}
 	e.ctx, e.cancel = context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, e))
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -84,6 +84,7 @@
 	inProgress prometheus.Histogram
 	dropped    prometheus.Counter
 	waited     prometheus.Counter
+	refused    *prometheus.CounterVec
 }
 
 func newServerMetrics() serverMetrics {
@@ -100,12 +101,15 @@
 			Name: "flamingoreel_caller_pipelined_waited_total",
 			Help: "Requests that were not run ahead at once because those of other connections take the available memory.",
 		}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingoreel_caller_refused_total", Help: "Requests that were refused because of their heads, by status.",
+		}, []string{"status"}),
 	}
 }
 
 // Collectors returns the metrics of the server.
 func (s *Server) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{s.metrics.inProgress, s.metrics.dropped, s.metrics.waited}
+	return []prometheus.Collector{s.metrics.inProgress, s.metrics.dropped, s.metrics.waited, s.metrics.refused}
 }
 
 // stopping reports whether connections close after the requests that were read.
