Add the decision how a narrow link is shared

Cause: on a link of 450 KB/s in each direction a download of 540 KB takes 1.2 s, in which requests and responses of a few hundred bytes wait behind it, and during a burst downloads need 0.9 of the link.

internal/linkshare is pure: it counts short messages without delaying them, passes long bodies in chunks of 4 KiB while the queue on the link is below 25 ms, orders chunks by latency objective, and admits a download only if it can be delivered in time after the bytes that are already owed. It isn't connected to the gateway yet.

--- /dev/null
+++ b/internal/linkshare/admission.go
@@ -0,0 +1,163 @@
+package linkshare
+
+import (
+	"math"
+	"time"
+)
+
+// Demand describes a request whose response may be long.
+type Demand struct {
+	Route string
+	// Arrived is when the request arrived; Objective and Deadline are when its response
+	// becomes late and when its caller's wait ends.
+	Arrived, Objective, Deadline time.Duration
+	// Service is the usual time from the send to a target to the head of the response.
+	Service time.Duration
+	// Limited reports that the request may be refused and held back if the responses of
+	// its route are long.
+	Limited bool
+}
+
+// Refusal says when a refused download should be tried again.
+type Refusal struct {
+	// After is when the backlog will have drained so far that the download would be
+	// admitted.
+	After time.Duration
+	// Expected is the expected time to delivery, and Owed the bytes that are owed to
+	// other downloads.
+	Expected time.Duration
+	Owed     int64
+}
+
+// Admit returns the download for a request, or why it is refused. A download of a route
+// whose responses aren't known to be long is always admitted.
+//
+// A download is refused if its response would be late, given the bytes that are already
+// owed: it would use capacity that those behind it need to be in time. While nothing is
+// owed, one that is only late because of its own size, or because it has lost time
+// before, is admitted, since a late response is worth more than none.
+func (s *Share) Admit(now time.Duration, q Demand) (*Download, *Refusal) {
+	size := s.sizes[q.Route]
+	d := &Download{
+		route: q.Route, objective: q.Objective, deadline: q.Deadline, service: q.Service, active: now,
+		limited: q.Limited && size > BulkBytes,
+	}
+	if !d.limited {
+		d.started, d.startedAt = true, now
+		return d, nil
+	}
+	d.left = [directions]int64{int64(size), int64(size)}
+	if refusal := s.judge(now, d); refusal != nil {
+		return nil, refusal
+	}
+	s.downloads = append(s.downloads, d)
+	return d, nil
+}
+
+// Track counts a download that turned out to be long among those that are owed bytes.
+func (s *Share) Track(d *Download) {
+	if !d.limited && !d.ended && d.bulk {
+		d.limited = true
+		s.downloads = append(s.downloads, d)
+	}
+}
+
+// judge returns why a download that hasn't been sent can't be delivered in time, or nil.
+func (s *Share) judge(now time.Duration, d *Download) *Refusal {
+	owed, expected := s.expected(now, d)
+	late := now + expected - d.objective
+	if late <= 0 || owed == 0 && now+expected <= d.deadline {
+		return nil
+	}
+	drained := s.duration(float64(owed) / s.bulkRate(now))
+	return &Refusal{After: min(max(late, 0), drained), Expected: expected, Owed: owed}
+}
+
+// expected returns the bytes that pass the link before a download and the expected time
+// to its delivery: the service time is spent while the link carries others, the held part
+// passes both directions one after the other.
+func (s *Share) expected(now time.Duration, d *Download) (owed int64, expected time.Duration) {
+	rate := s.bulkRate(now)
+	owed = s.owedBefore(now, d)
+	own, held := float64(d.left[Out])/rate, float64(min(d.left[Out], holdBytes))/rate
+	return owed, max(d.service+s.duration(held), s.duration(float64(owed)/rate)) + s.duration(own)
+}
+
+func (s *Share) duration(seconds float64) time.Duration {
+	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
+}
+
+// Owed returns the bytes that are owed to the admitted downloads.
+func (s *Share) Owed(now time.Duration) int64 { return s.owedBefore(now, nil) }
+
+// owedBefore returns the bytes owed to the downloads that are due before one, in the
+// busier direction; nil stands for one that is due after all others.
+func (s *Share) owedBefore(now time.Duration, d *Download) int64 {
+	var owed [directions]int64
+	for _, other := range s.downloads {
+		if other == d || other.stalled(now) || d != nil && other.objective > d.objective {
+			continue
+		}
+		for dir := range owed {
+			owed[dir] += other.left[dir]
+		}
+	}
+	return max(owed[In], owed[Out])
+}
+
+// stalled reports whether a download leaves its part of the link unused because its
+// target or its caller makes no progress. It counts again as soon as it goes on.
+func (d *Download) stalled(now time.Duration) bool {
+	switch {
+	case !d.started || d.asking > 0:
+		return false
+	case d.active <= d.startedAt:
+		return now-d.startedAt > max(maxServiceExcess*d.service, stallAfter)
+	}
+	return now-d.active > stallAfter
+}
+
+// StartNext returns the next admitted download that may be sent to a target, and true; or
+// one that can no longer be delivered in time, which it ends, and false. It returns nil
+// if none may be sent yet: one that waits for the link would occupy its target and memory.
+func (s *Share) StartNext(now time.Duration) (*Download, bool) {
+	running := 0
+	var first *Download
+	for _, d := range s.downloads {
+		switch {
+		case !d.started && (first == nil || d.objective < first.objective):
+			first = d
+		case d.started && !d.stalled(now):
+			running++
+		}
+	}
+	if first == nil {
+		return nil, false
+	}
+	if s.judge(now, first) != nil {
+		s.End(first)
+		return first, false
+	}
+	if running >= s.maxRunning(now, first) {
+		return nil, false
+	}
+	first.started, first.startedAt, first.active = true, now, now
+	return first, true
+}
+
+// maxRunning returns how many downloads keep the link busy: those on their way in each
+// direction, and as many as the link carries while a target works on one.
+func (s *Share) maxRunning(now time.Duration, d *Download) int {
+	waiting := s.bulkRate(now) * d.service.Seconds() / max(float64(d.left[In]), BulkBytes)
+	return pipelineDownloads + int(math.Ceil(waiting))
+}
+
+// Waiting reports whether a download was admitted but not sent yet.
+func (s *Share) Waiting() bool {
+	for _, d := range s.downloads {
+		if !d.started {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/linkshare/share_test.go
@@ -0,0 +1,137 @@
+package linkshare
+
+import (
+	"testing"
+	"time"
+)
+
+const testCapacity = 450e3
+
+// long returns an admitted download of a route whose responses have 90 KB.
+func long(t *testing.T, s *Share, now time.Duration) *Download {
+	t.Helper()
+	s.Observe("bundle", 90e3)
+	d, refusal := s.Admit(now, demand(now))
+	if refusal != nil {
+		t.Fatalf("refused: %+v", refusal)
+	}
+	return d
+}
+
+func demand(now time.Duration) Demand {
+	return Demand{Route: "bundle", Objective: now + 3*time.Second, Deadline: now + 6*time.Second, Service: 140 * time.Millisecond, Limited: true}
+}
+
+// Guards against a link that is scheduled although its capacity isn't known, or although
+// it is fast.
+func TestUnknownAndFastLinksAreNotScheduled(t *testing.T) {
+	for capacity, scheduled := range map[float64]bool{0: false, testCapacity: true, 250e3: true, 125e6: false} {
+		if got := New(capacity) != nil; got != scheduled {
+			t.Errorf("%v bytes per second: scheduled is %v", capacity, got)
+		}
+	}
+}
+
+// Guards against downloads that are admitted although they will be late, against a
+// Retry-After that is too early, and against bytes that are owed to ended downloads.
+func TestAdmissionFollowsTheBacklog(t *testing.T) {
+	s := New(testCapacity)
+	var admitted []*Download
+	var refusal *Refusal
+	s.Observe("bundle", 90e3)
+	for refusal == nil {
+		var d *Download
+		if d, refusal = s.Admit(0, demand(0)); d != nil {
+			admitted = append(admitted, d)
+		}
+	}
+	// 405,000 bytes per second carry 13 downloads of 90,000 bytes in 3 s.
+	if len(admitted) != 13 || s.Owed(0) != 13*90e3 {
+		t.Errorf("admitted %d downloads with %d bytes, want 13", len(admitted), s.Owed(0))
+	}
+	if refusal.After <= 0 || refusal.After > time.Second {
+		t.Errorf("retry after %v, want the time of the excess", refusal.After)
+	}
+	s.End(admitted[0])
+	if _, refusal := s.Admit(0, demand(0)); refusal != nil {
+		t.Errorf("refused after a download had ended: %+v", refusal)
+	}
+}
+
+// Guards against refusing a download that is late by its own size while nothing else
+// waits: a late response is worth more than none.
+func TestLateDownloadIsAdmittedAlone(t *testing.T) {
+	s := New(testCapacity)
+	s.Observe("bundle", 1500e3)
+	first, refusal := s.Admit(0, demand(0))
+	if refusal != nil {
+		t.Fatalf("refused although nothing is owed: %+v", refusal)
+	}
+	if _, refusal := s.Admit(0, demand(0)); refusal == nil {
+		t.Error("admitted a second one, which delays the first")
+	}
+	s.End(first)
+	s.Observe("bundle", 900e6)
+	if _, refusal := s.Admit(0, demand(0)); refusal == nil {
+		t.Error("admitted a download that can't be delivered before its deadline")
+	}
+}
+
+// Guards against a bound of concurrent downloads that silent targets or slow readers use
+// up, and against one that isn't held.
+func TestStalledDownloadsFreeTheirPlaces(t *testing.T) {
+	s := New(testCapacity)
+	for range 12 {
+		long(t, s, 0)
+	}
+	start := func(now time.Duration) (started int) {
+		for d, ok := s.StartNext(now); ok; d, ok = s.StartNext(now) {
+			s.Announce(now+time.Millisecond, d, 90e3)
+			started++
+		}
+		return started
+	}
+	running := start(0)
+	if running < pipelineDownloads || running > pipelineDownloads+2 {
+		t.Errorf("%d downloads run at once", running)
+	}
+	if got := start(stallAfter / 2); got != 0 {
+		t.Errorf("%d more downloads started while the first ones may go on", got)
+	}
+	if got := start(2 * stallAfter); got != running {
+		t.Errorf("%d downloads took the places of %d stalled ones", got, running)
+	}
+}
+
+// Guards against chunks that exceed the rate of the link, or that stop altogether while
+// short messages take all of it.
+func TestRateOfChunks(t *testing.T) {
+	for _, c := range []struct {
+		// interactive is the rate of short messages, least and most bound that of chunks.
+		interactive, least, most float64
+	}{{0, 395e3, 410e3}, {100e3, 295e3, 310e3}, {500e3, 36e3, 45e3}} {
+		s := New(testCapacity)
+		d := long(t, s, 0)
+		s.Announce(0, d, 100e6)
+		passed := 0
+		for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
+			s.Count(now, Out, int64(c.interactive/1000))
+			for {
+				if d.asking == 0 {
+					s.Ask(now, d, Out, 1<<20)
+				}
+				chunk, wait := s.Next(now, Out)
+				if chunk == nil {
+					if wait <= 0 {
+						t.Fatal("no time to ask again")
+					}
+					break
+				}
+				passed += chunk.Bytes
+			}
+		}
+		if rate := float64(passed) / 10; rate < c.least || rate > c.most {
+			t.Errorf("%v bytes per second pass beside %v of short messages, want %v to %v", rate, c.interactive, c.least, c.most)
+		}
+	}
+}
