Schedule downloads on a narrow link

Cause: an entry with a link of 450 KB/s read and wrote responses as fast as sockets took them, so that short messages waited behind the bytes of downloads, and it accepted downloads that it could only deliver late.

The gateway now applies internal/linkshare if the capacity of the link is known and below 100 Mbit/s: it asks for each download before it is sent, refuses it with 429 and a Retry-After from the backlog, holds back those beyond the number that keeps the link busy, and paces the reading from the target and the writing to the caller. Connections to targets get a receive window of 25 ms of the link, those of callers a limit of 8 KiB of unsent bytes while a long response is written. The service time of a paced response ends with its head, and no second target is tried while a long response is being received. Without a known capacity no code path changes but the counting of a time.

Ruled out: a pool of its own for downloads, because short responses fit into the small window as well and a second pool doubles the connections to targets. A context in the reading side's hook, because it would change the signature of exchange, which tests use.

--- a/internal/callers/gone.go
+++ b/internal/callers/gone.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -14,15 +13,8 @@
 // server has read the end of the connection, which may be much later while the
 // processor is busy. ctx is that of the request.
 func Gone(ctx context.Context) func() bool {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	if !ok {
-		return nil
-	}
-	if tracked, ok := conn.(*trackedConn); ok {
-		conn = tracked.Conn
-	}
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
+	sc := socketOf(ctx)
+	if sc == nil {
 		return nil
 	}
 	return func() bool { return closedByPeer(sc) }
--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -42,6 +42,13 @@
 }
 
 func startEntry(t *testing.T) *entryVM {
+	t.Helper()
+	return startEntryOnLink(t, 0)
+}
+
+// startEntryOnLink starts an entry that knows the capacity of its link in bytes per
+// second.
+func startEntryOnLink(t *testing.T, linkBytes float64) *entryVM {
 	t.Helper()
 	handler := memory.New()
 	t.Cleanup(func() {
@@ -53,7 +60,7 @@
 	})
 	g, err := gateway.New(gateway.Config{
 		Addr: "127.0.0.1:0", Region: "r", DataCentre: "d", Regions: map[string]string{"d": "r"},
-		Dialect: platform.Dialect{}, ColdFactor: 1, RetryRatio: 10, RetrySlack: 10000, Seed: 1,
+		Dialect: platform.Dialect{}, ColdFactor: 1, RetryRatio: 10, RetrySlack: 10000, Seed: 1, LinkBytes: linkBytes,
 		Logger: &log.Logger{Handler: handler},
 	})
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,8 @@
 	// VMs; 0 means 32 MiB.
 	RelayBytes int64
 	// LinkBytes is the capacity of this VM's network link in bytes per second; 0 means
-	// that it is not known and does not limit the requests of other entry VMs.
+	// that it is not known, and that neither downloads nor the requests of other entry
+	// VMs are limited.
 	LinkBytes float64
 	Seed      uint64
 	Logger    log.Interface
@@ -134,7 +135,10 @@
 	relayPeers *reach.Peers
 	// linkBudget limits the requests that this VM serves for others.
 	linkBudget *reach.LinkBudget
-	rng        *rand.Rand
+	// link shares the link between short messages and downloads; nil if its capacity is
+	// not known or high.
+	link *linkScheduler
+	rng  *rand.Rand
 
 	// relayLimit bounds the requests that this VM serves for others, relayCopies the
 	// copies of bodies that it sends to others.
@@ -200,6 +204,9 @@
 	g.view.Store(fleet.NewView())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.metrics.registerPath(cfg.Registry, g)
+	if g.link = newLinkScheduler(cfg, g.now); g.link != nil {
+		g.pool.LimitWindow(g.link.share.Window())
+	}
 	links.Handle(methodRelay, g.handleRelay)
 	if cfg.Registry != nil {
 		cfg.Registry.MustRegister(availabilityCollector{g})
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/linkshare"
 	"github.com/flamingoreel/flamingoreel/internal/reach"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 	"github.com/flamingoreel/flamingoreel/internal/wire"
@@ -96,6 +97,8 @@
 		return &relayReply{Kind: failure.Kind, Message: failure.Message}
 	}
 	defer g.crashes.End(a.fingerprints)
+	a.admitDownload(now)
+	defer a.transfer.end()
 	reply := a.relayReply(a.run(ctx), func(n int64) bool {
 		if !g.relayLimit.reserve(n) {
 			return false
@@ -105,6 +108,7 @@
 	})
 	reply.Target, reply.Answered = a.lastTarget, a.answered
 	g.observeSize(a.service, int64(len(m.Body)+len(reply.Body)))
+	g.link.count(linkshare.Out, len(reply.Body))
 	return reply
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
+	"github.com/flamingoreel/flamingoreel/internal/linkshare"
 	"github.com/flamingoreel/flamingoreel/internal/upstream"
 )
 
@@ -21,17 +22,30 @@
 	sent := g.now()
 	header := a.req.Header.Clone()
 	g.cfg.Dialect.Prepare(header, a.deadline-sent, c.endpoint.ID)
+	var headAt time.Duration
+	g.link.count(linkshare.Out, len(a.req.Body))
 	resp, failure := g.pool.Do(ctx, &upstream.Request{
 		Addr: c.endpoint.Address, Method: a.req.Method, URI: a.req.URI, Host: a.req.Host,
 		Header: header, Body: a.req.Body, HasBody: a.req.HasBody, ID: a.req.ID, Used: &a.usedConns, MaxBufferedBytes: holdBytes,
-		Accept: func(r *upstream.Response) bool { return a.accept(c, r) }, Proceed: func() bool { return g.open(c) && a.wanted(ctx) },
+		Pace: a.transfer.paceIn(ctx),
+		Accept: func(r *upstream.Response) bool {
+			headAt = g.now()
+			if !a.accept(c, r) {
+				return false
+			}
+			a.transfer.announce(a.req.Method, r)
+			return true
+		}, Proceed: func() bool { return g.open(c) && a.wanted(ctx) },
 	})
-	res := attemptResult{choice: c, resp: resp, failure: failure}
+	res := attemptResult{choice: c, resp: resp, failure: failure, took: g.now() - sent}
+	if a.transfer.receiving() && headAt > 0 {
+		res.took = headAt - sent
+	}
 	if failure == nil {
 		res.info = g.cfg.Dialect.Read(resp)
 	}
 	res.undialed = failure != nil && failure.Kind == errkind.TargetUnreachable && ctx.Err() != nil && g.now()-sent < acceptTime
-	g.updateTarget(a, res, sent)
+	g.updateTarget(a, res)
 	a.updateCrashes(res, sent)
 	return res
 }
@@ -65,7 +79,7 @@
 )
 
 // updateTarget updates the state of a target after an attempt.
-func (g *Gateway) updateTarget(a *activeRequest, res attemptResult, sent time.Duration) {
+func (g *Gateway) updateTarget(a *activeRequest, res attemptResult) {
 	now := g.now()
 	c, s, failure := res.choice, res.info, res.failure
 	g.mu.Lock()
@@ -104,9 +118,9 @@
 		c.state.Refused()
 	case res.resp.Status < 500:
 		work := g.workOf(a.name, a.route)
-		g.updateWork(a.name, work, c.state.Succeeded(now, now-sent, work, c.endpoint.Slots))
+		g.updateWork(a.name, work, c.state.Succeeded(now, res.took, work, c.endpoint.Slots))
 		if a.sharded && (s.Load == nil || s.Load.Waiting == 0) {
-			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, now-sent)
+			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, res.took)
 		}
 	}
 	g.metrics.sends.WithLabelValues(label).Inc()
@@ -145,6 +159,10 @@
 			}
 			a.recordFailure(res)
 		case <-timer.C:
+			// A second long response would take the link from the first one.
+			if a.transfer.receiving() {
+				continue
+			}
 			if second, ok := a.hedge(); ok {
 				launch(second)
 				pending++
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -94,6 +94,9 @@
 	answered fleet.Incarnation
 	// abandon ends the context of the request; nil for a relayed request.
 	abandon func()
+	// transfer is that of the response over the link of this VM; nil if the link isn't
+	// scheduled.
+	transfer *transfer
 	// relayed reports that the request comes from another entry VM, and peer is the
 	// entry VM that relayed it for this one.
 	relayed bool
@@ -165,6 +168,9 @@
 	if !g.admitOwn(now, a.service) {
 		return g.refuseBeforeServing(req, errkind.New(errkind.Overloaded, "the link of this VM has no capacity left"))
 	}
+	if refused, ok := a.admitDownload(now); !ok {
+		return refused
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(a.deadline-now, cancel)
 	unlink := context.AfterFunc(g.stopping.serviceCtx, cancel)
@@ -174,7 +180,7 @@
 		cancel()
 	}
 	a.abandon = cancel
-	result := a.run(ctx)
+	result := a.runOnLink(ctx)
 	a.record(result, item.Version)
 	if result.Response == nil || result.Response.Rest == nil {
 		release()
@@ -214,6 +220,9 @@
 	resp    *upstream.Response
 	info    ResponseInfo
 	failure *errkind.Error
+	// took is the time from the send to the response. It ends with the head of a long
+	// response that is paced: the rest depends on the link, not on the target.
+	took time.Duration
 	// undialed reports that the attempt was cancelled, or its time was over, before a
 	// sound target would have accepted the connection.
 	undialed bool
--- a/internal/linkshare/admission.go
+++ b/internal/linkshare/admission.go
@@ -117,10 +117,10 @@
 	return now-d.active > stallAfter
 }
 
-// StartNext returns the next admitted download that may be sent to a target, and true; or
-// one that can no longer be delivered in time, which it ends, and false. It returns nil
-// if none may be sent yet: one that waits for the link would occupy its target and memory.
-func (s *Share) StartNext(now time.Duration) (*Download, bool) {
+// StartNext returns the next admitted download that may be sent to a target; or one that
+// can no longer be delivered in time, which it ends, and why. It returns nil if none may
+// be sent yet: one that waits for the link would occupy its target and memory.
+func (s *Share) StartNext(now time.Duration) (*Download, *Refusal) {
 	running := 0
 	var first *Download
 	for _, d := range s.downloads {
@@ -132,17 +132,17 @@
 		}
 	}
 	if first == nil {
-		return nil, false
+		return nil, nil
 	}
-	if s.judge(now, first) != nil {
+	if refusal := s.judge(now, first); refusal != nil {
 		s.End(first)
-		return first, false
+		return first, refusal
 	}
 	if running >= s.maxRunning(now, first) {
-		return nil, false
+		return nil, nil
 	}
 	first.started, first.startedAt, first.active = true, now, now
-	return first, true
+	return first, nil
 }
 
 // maxRunning returns how many downloads keep the link busy: those on their way in each
@@ -152,6 +152,9 @@
 	return pipelineDownloads + int(math.Ceil(waiting))
 }
 
+// Started reports whether a download may be sent to a target.
+func (d *Download) Started() bool { return d.started }
+
 // Waiting reports whether a download was admitted but not sent yet.
 func (s *Share) Waiting() bool {
 	for _, d := range s.downloads {
--- a/internal/linkshare/replay_test.go
+++ b/internal/linkshare/replay_test.go
@@ -98,11 +98,11 @@
 
 func (r *replay) startNext() {
 	for {
-		d, ok := r.share.StartNext(r.now)
+		d, refusal := r.share.StartNext(r.now)
 		if d == nil {
 			break
 		}
-		r.waits[d](ok)
+		r.waits[d](refusal == nil)
 	}
 	if r.share.Waiting() {
 		r.at(r.now+50*time.Millisecond, r.startNext)
--- a/internal/linkshare/share_test.go
+++ b/internal/linkshare/share_test.go
@@ -85,7 +85,7 @@
 		long(t, s, 0)
 	}
 	start := func(now time.Duration) (started int) {
-		for d, ok := s.StartNext(now); ok; d, ok = s.StartNext(now) {
+		for d, _ := s.StartNext(now); d != nil; d, _ = s.StartNext(now) {
 			s.Announce(now+time.Millisecond, d, 90e3)
 			started++
 		}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -44,16 +45,28 @@
 	// Length is the length of the whole body in bytes, or -1 if unknown. For a HEAD
 	// request, it is the length that the body would have.
 	Length int64
+	// Pace delays the writing of the body to the caller, so that other messages pass the
+	// link first: it returns how many of the next n bytes may be written now, at least
+	// one, or an error as soon as ctx ends. nil writes all at once.
+	Pace func(ctx context.Context, n int) (int, error)
+	// MaxUnsent is how many bytes of a paced body may wait in the kernel before they are
+	// sent to the caller, in bytes; 0 means no limit.
+	MaxUnsent int
+	onClose   []func()
 	// Reused reports whether the connection was used for an earlier request.
 	Reused bool
 }
 
-// Close closes Rest. If the body was not read to its end, this closes the
+// Close closes Rest and runs the functions of OnClose. If the body was not read to its end, this closes the
 // connection, so that the target stops sending.
 func (r *Response) Close() {
 	if r.Rest != nil {
 		_ = r.Rest.Close()
 	}
+	for _, f := range r.onClose {
+		f()
+	}
+	r.onClose = nil
 }
 
 // exchange writes the request and reads the response up to req.MaxBufferedBytes bytes of its
@@ -84,6 +97,9 @@
 	if resp.Length > MaxBodyBytes {
 		return nil, errkind.New(errkind.AnswerTooLarge, "response of %s has %d bytes", req.Addr, resp.Length)
 	}
+	if req.Pace != nil && head.Body != http.NoBody {
+		head.Body = &pacedReader{ReadCloser: head.Body, pace: req.Pace}
+	}
 	if err := resp.readBody(head.Body, req.MaxBufferedBytes); err != nil {
 		return nil, lost(err)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -75,6 +75,10 @@
 	// MaxBufferedBytes is the maximum number of bytes of the response body that Do reads before
 	// it returns; the rest of a longer body is read from Response.Rest.
 	MaxBufferedBytes int
+	// Pace delays the reading of the response's body, so that other messages pass the
+	// link first: it returns how many of the next n bytes may be read now, at least one,
+	// or an error as soon as the request has ended. nil reads all at once.
+	Pace func(n int) (int, error)
 	// Proceed reports, once there is a connection, whether the request may still be
 	// sent; nil always sends it.
 	Proceed func() bool
