Learn the size of downloads from successful responses only

Cause: the end of a transfer recorded the bytes of any response that hadn't been recorded at its head, so a 404 or a 503 lowered the expected size of its route, and downloads were then admitted as if they were short.

Only a 200 counts: with its length, or, if its head names none, with the bytes that were read. A caller that leaves during a response without a length lowers the expectation; the next responses correct it.

--- a/internal/gateway/downloads.go
+++ b/internal/gateway/downloads.go
@@ -102,11 +102,12 @@
 
 // transfer is the transfer of the response to one request over the link.
 type transfer struct {
-	s *linkScheduler
-	d *linkshare.Download
-	// observed reports that the size of the response is known to its route.
-	route    string
-	observed bool
+	s     *linkScheduler
+	d     *linkshare.Download
+	route string
+	// unknownLength reports that the head of a successful response names no length, so
+	// that the bytes that were read count as its size.
+	unknownLength bool
 	// ready is closed when the download may be sent to a target or is dropped, for the
 	// reason that refusal then holds.
 	ready   chan struct{}
@@ -232,9 +233,8 @@
 	}
 	s.share.Announce(now, t.d, r.Length)
 	s.share.Track(t.d)
-	if r.Length >= 0 && r.Status == http.StatusOK {
+	if t.unknownLength = r.Length < 0 && r.Status == http.StatusOK; r.Length >= 0 && r.Status == http.StatusOK {
 		s.share.Observe(t.route, r.Length)
-		t.observed = true
 	}
 }
 
@@ -256,10 +256,10 @@
 	s := t.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if passed := t.d.Passed(); !t.observed && passed > 0 {
-		s.share.Observe(t.route, passed)
+	if t.unknownLength {
+		s.share.Observe(t.route, t.d.Passed())
+		t.unknownLength = false
 	}
-	t.observed = true
 	delete(s.waiting, t.d)
 	s.share.End(t.d)
 	s.startWaiting(s.now())
--- a/internal/gateway/downloads_test.go
+++ b/internal/gateway/downloads_test.go
@@ -220,6 +220,39 @@
 	}
 }
 
+// Guards against errors and broken responses that change the expected size of downloads,
+// and against ignoring responses without a length.
+func TestExpectedSizeFollowsResponses(t *testing.T) {
+	for name, c := range map[string]struct {
+		respond http.HandlerFunc
+		grows   bool
+	}{
+		"not found": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signed", "1")
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = io.WriteString(w, "not found")
+		}, false},
+		"length": {body(30e3), true},
+		"no length": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signed", "1")
+			_, _ = io.WriteString(w, strings.Repeat("x", 15e3))
+			w.(http.Flusher).Flush()
+			_, _ = io.WriteString(w, strings.Repeat("x", 15e3))
+		}, true},
+	} {
+		b, _ := newLinkTestbed(t, 17e3, newTarget(t, c.respond))
+		r := b.serve("/download/x", "1")
+		if r.Err != nil {
+			t.Errorf("%s: %v", name, r.Err)
+			continue
+		}
+		r.Response.Close()
+		if got := b.g.link.share.Expected("download"); got < 17e3 || (got > 17e3) != c.grows {
+			t.Errorf("%s: %v bytes are expected after 17000", name, got)
+		}
+	}
+}
+
 // Guards against any effect of the rule while the capacity isn't known or is high.
 func TestLinkIsNotScheduledWithoutNeed(t *testing.T) {
 	for _, capacity := range []float64{0, 125e6} {
--- a/internal/linkshare/admission.go
+++ b/internal/linkshare/admission.go
@@ -36,7 +36,7 @@
 // others, a download is always admitted: a late response is worth more than none, and an
 // expected size or service time that is too high is only corrected by a response.
 func (s *Share) Admit(now time.Duration, q Demand) (*Download, *Refusal) {
-	size := s.sizes[q.Route]
+	size := s.Expected(q.Route)
 	d := &Download{
 		route: q.Route, objective: q.Objective, service: q.Service, active: now,
 		limited: q.Limited && size > BulkBytes,
--- a/internal/linkshare/share.go
+++ b/internal/linkshare/share.go
@@ -295,6 +295,10 @@
 	s.sizes[route] = size + sizeWeight*(float64(length)-size)
 }
 
+// Expected returns the expected length of a route's responses in bytes; 0 if it isn't
+// known.
+func (s *Share) Expected(route string) float64 { return s.sizes[route] }
+
 // End releases what a download holds of the link.
 func (s *Share) End(d *Download) {
 	d.ended = true
