Keep a panic in the link scheduler from ending the process

Cause, from reading: timers called the decision outside recoverPanic, and a request that panicked while it was served never ended its transfer, so that its bytes stayed owed until they counted as stalled and its entry stayed in the list for ever.

Timers run under recoverPanic, and a transfer ends unless its response is handed over. No test shows either: nothing in the decision is known to panic, and a panic within an attempt was caught before.

--- a/internal/gateway/downloads.go
+++ b/internal/gateway/downloads.go
@@ -52,8 +52,9 @@
 	waits   *prometheus.HistogramVec
 }
 
-// newLinkScheduler returns nil if the link isn't scheduled.
-func newLinkScheduler(cfg Config, now func() time.Duration) *linkScheduler {
+// newLinkScheduler returns nil if the link isn't scheduled. guard runs a function whose
+// panic must not end the process.
+func newLinkScheduler(cfg Config, now func() time.Duration, guard func(func()) bool) *linkScheduler {
 	share := linkshare.New(cfg.LinkBytes)
 	if share == nil {
 		return nil
@@ -69,9 +70,9 @@
 		}, []string{"stage"}),
 	}
 	for dir := range s.timers {
-		s.timers[dir] = newStoppedTimer(func() { s.dispatch(linkshare.Direction(dir)) })
+		s.timers[dir] = newStoppedTimer(func() { guard(func() { s.dispatch(linkshare.Direction(dir)) }) })
 	}
-	s.starts = newStoppedTimer(s.startNext)
+	s.starts = newStoppedTimer(func() { guard(s.startNext) })
 	if cfg.Registry != nil {
 		cfg.Registry.MustRegister(s.refused, s.waits, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "flamingoreel_gateway_link_owed_bytes", Help: "Bytes that the link still has to carry for admitted downloads.",
@@ -340,9 +341,14 @@
 	if a.transfer == nil {
 		return a.run(ctx)
 	}
+	delivers := false
+	defer func() {
+		if !delivers {
+			a.transfer.end()
+		}
+	}()
 	result := a.runOnceStarted(ctx)
-	if result.Response == nil {
-		a.transfer.end()
+	if delivers = result.Response != nil; !delivers {
 		return result
 	}
 	a.g.link.count(linkshare.Out, 0)
--- a/internal/gateway/downloads_test.go
+++ b/internal/gateway/downloads_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	b := newTestbed(t, targets...)
 	lines := memory.New()
-	b.g.link = newLinkScheduler(Config{LinkBytes: 450e3, Logger: &log.Logger{Handler: lines}}, b.g.now)
+	b.g.link = newLinkScheduler(Config{LinkBytes: 450e3, Logger: &log.Logger{Handler: lines}}, b.g.now, b.g.recoverPanic)
 	b.g.link.share.Observe("download", size)
 	return b, lines
 }
@@ -256,7 +256,7 @@
 // Guards against any effect of the rule while the capacity isn't known or is high.
 func TestLinkIsNotScheduledWithoutNeed(t *testing.T) {
 	for _, capacity := range []float64{0, 125e6} {
-		if newLinkScheduler(Config{LinkBytes: capacity}, nil) != nil {
+		if newLinkScheduler(Config{LinkBytes: capacity}, nil, nil) != nil {
 			t.Errorf("a link of %v bytes per second is scheduled", capacity)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,7 +204,7 @@
 	g.view.Store(fleet.NewView())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.metrics.registerPath(cfg.Registry, g)
-	if g.link = newLinkScheduler(cfg, g.now); g.link != nil {
+	if g.link = newLinkScheduler(cfg, g.now, g.recoverPanic); g.link != nil {
 		g.pool.LimitWindow(g.link.share.Window())
 	}
 	links.Handle(methodRelay, g.handleRelay)
