Bound what callers' heads and connections take while they arrive

Cause: http.Server.MaxHeaderBytes is fixed at 1 MB when the server starts, the configured head limit was checked by the handler after the whole head, and nothing bounded the number of connections. 200 connections took up to 1.8 GB of an entry with 64 MB, and 600 unfinished heads all of its 512 descriptors.

Changed: Connections counts the bytes and lines of a head as they are read. A head beyond the limit in force, plus 4 KiB that the server may read ahead, gets 431 with Connection: close while it arrives; later bytes are discarded for at most 0.5 s and 64 KiB, so that a reset doesn't destroy the response. A roster (pure code) keeps connections in the order in which they entered their phase and names the one to close beyond the bound: the one that has been reading a head for longest, then the longest idle one, never one whose request is served; a new one only if all others are served. One that has sent a part of a head gets 503 with Retry-After, which is true: BeginRequest refuses it from then on.

The bound is derived from the settings' memory (0.15 of it at 32 KiB for each connection: 691 at 144 MB) and RLIMIT_NOFILE (half of it). Heads beyond 1 KiB in 25 lines together take at most 0.1 of the memory, estimated from bytes and lines, because 1,300 header lines of 6 bytes took 124 KB on the heap; one head alone may take more, so that a request within the limits is served when there is no load. Metrics by listener and two log lines, at most one in 10 s.

Ruled out: a fixed lower MaxHeaderBytes, because the limit can change while connections are open. Counting bytes alone, because of the short lines.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -172,6 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.limitConnections(ctx, callerListener, connected, ingress.Gateway.Limits)
 	go connected.Sweep(ctx, ingress.Gateway.Limits)
 	p.serve(connected.WrapListener(listener), server)
 	return server, nil
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -43,6 +43,7 @@
 		defer body.Release()
 		_, _ = fmt.Fprint(w, len(body.Bytes))
 	}))
+	s.conns.Limit(Bound{}, current)
 	s.Config.ConnState, s.Config.ConnContext = s.conns.ConnState, s.conns.ConnContext
 	s.Listener = s.conns.WrapListener(s.Listener)
 	s.Start()
--- /dev/null
+++ b/internal/callers/connection_limit.go
@@ -0,0 +1,94 @@
+package callers
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Limit makes Connections enforce the head limit while heads arrive, and a bound on all
+// connections. It must be called before the server starts.
+func (c *Connections) Limit(bound Bound, limits func() Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.roster.bound, c.limits = bound, limits
+}
+
+// add tracks a new connection and closes one if the bound is exceeded.
+func (c *Connections) add(conn net.Conn) {
+	c.mu.Lock()
+	tracked := &connection{conn: conn, phase: reading, since: time.Now()}
+	c.conns[conn] = tracked
+	c.roster.add(tracked)
+	closed := c.removeExcess(tracked)
+	c.mu.Unlock()
+	closeExcess(closed)
+}
+
+// enter records that a connection enters a phase.
+func (c *Connections) enter(tracked *connection, to phase, now time.Time) {
+	tracked.since = now
+	c.roster.move(tracked, to)
+}
+
+// forget stops tracking a connection.
+func (c *Connections) forget(conn net.Conn) {
+	if tracked := c.conns[conn]; tracked != nil {
+		c.roster.remove(tracked)
+		delete(c.conns, conn)
+	}
+}
+
+// removeExcess stops tracking the connections beyond the bound and returns them.
+// BeginRequest refuses their requests from then on.
+func (c *Connections) removeExcess(newest *connection) (closed []*connection) {
+	for {
+		tracked := c.roster.excess(newest)
+		if tracked == nil {
+			return closed
+		}
+		c.counts.closed[tracked.phase]++
+		// The memory of the head is needed after the removal to choose the response.
+		size := tracked.head
+		c.forget(tracked.conn)
+		tracked.head = size
+		c.idleSince = time.Now()
+		closed = append(closed, tracked)
+	}
+}
+
+// excessResponse is sent if a connection is closed because of the bound after a part
+// of a head was received.
+const excessResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// closeExcess closes connections. It does not wait for callers.
+func closeExcess(closed []*connection) {
+	for _, tracked := range closed {
+		if tracked.phase == reading && tracked.head.bytes > 0 {
+			// Nothing was written on the connection for this request.
+			writeNow(tracked.conn, excessResponse)
+		}
+		_ = tracked.conn.Close()
+	}
+}
+
+// writeNow writes to a connection as much as its send buffer takes at once.
+func writeNow(conn net.Conn, text string) {
+	if tracked, ok := conn.(*trackedConn); ok {
+		conn = tracked.Conn
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return // closed by the server
+	}
+	// The caller may have closed the connection, and gets no response then.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.Sendto(int(fd), []byte(text), unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil)
+	})
+}
--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"container/list"
 	"context"
 	"io"
 	"net"
@@ -23,13 +24,20 @@
 	serving
 	// idle means that the connection waits for another request.
 	idle
+	// phases is the number of phases.
+	phases
 )
 
 // connection is the tracked state of a connection.
 type connection struct {
+	conn  net.Conn
 	phase phase
 	// since is when the phase began.
 	since time.Time
+	// head is the size of the head that arrives or whose request is served.
+	head head
+	// element is the connection's place in the roster.
+	element *list.Element
 }
 
 // Connections tracks the connections of a server. It closes connections that
@@ -42,6 +50,10 @@
 type Connections struct {
 	mu    sync.Mutex
 	conns map[net.Conn]*connection
+	// roster and limits are what Limit sets, and counts what was closed because of them.
+	roster roster
+	limits func() Limits
+	counts counts
 	// idleSince is when a connection last became idle or ended.
 	idleSince time.Time
 }
@@ -79,22 +91,12 @@
 // Read implements net.Conn.
 func (w *trackedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
-	if n > 0 {
-		w.conns.startReading(w)
+	if n > 0 && !w.conns.received(w, p[:n]) {
+		return 0, w.refuseHead(p)
 	}
 	return n, err
 }
 
-// startReading records that bytes were received, which begin a request if the
-// connection was idle.
-func (c *Connections) startReading(conn net.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if tracked := c.conns[conn]; tracked != nil && tracked.phase == idle {
-		tracked.phase, tracked.since = reading, time.Now()
-	}
-}
-
 // connKey is the context key for the connection of a request.
 type connKey struct{}
 
@@ -106,20 +108,22 @@
 // ConnState is the ConnState hook of the http.Server. A new connection counts as
 // active, because its first request may be in transit.
 func (c *Connections) ConnState(conn net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		c.add(conn)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	switch state {
-	case http.StateNew:
-		c.conns[conn] = &connection{phase: reading, since: now}
 	case http.StateActive:
 	case http.StateIdle:
 		if tracked := c.conns[conn]; tracked != nil {
-			tracked.phase, tracked.since = idle, now
+			c.enter(tracked, idle, now)
 		}
 		c.idleSince = now
 	default:
-		delete(c.conns, conn)
+		c.forget(conn)
 		c.idleSince = now
 	}
 }
@@ -138,7 +142,7 @@
 	if tracked == nil {
 		return false
 	}
-	tracked.phase, tracked.since = serving, time.Now()
+	c.enter(tracked, serving, time.Now())
 	return true
 }
 
@@ -194,7 +198,7 @@
 		default:
 			continue
 		}
-		delete(c.conns, conn)
+		c.forget(conn)
 		c.idleSince = now
 	}
 	return lateConns, idleConns
