Bound connections and heads at the readiness, metrics and control addresses

Cause: these servers had only a time limit for heads: each connection could send 1 MB of head, and nothing bounded their number. 200 connections took 161 to 289 MB of a process with 64 MB with one header line, and 515 to 1,213 MB with many.

Changed: they use callers.Connections as well, with heads of at most 16 KiB, which are refused while they arrive. The control address gets the bound of callers: targets keep connections there, and one control VM may have to serve all of them. Readiness and metrics get an eighth of it each, at most 64.

listen takes a context and the listener's name; TestSocketOptions passes them.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -150,14 +150,20 @@
 	return err
 }
 
-// listen serves a handler on an address until the process ends.
-func (p *process) listen(addr string, handler http.Handler) (*http.Server, error) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+// listen serves a handler on an address until the process ends. name is that of the
+// listener in metrics; ctx ends the log lines about its connections.
+func (p *process) listen(ctx context.Context, name, addr string, handler http.Handler) (*http.Server, error) {
+	connected := callers.NewConnections()
+	server := &http.Server{
+		Handler: trackRequests(connected, handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxOperatorHeadBytes,
+		ConnState: connected.ConnState, ConnContext: connected.ConnContext,
+	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	p.serve(listener, server)
+	p.limitConnections(ctx, name, connected, operatorLimits)
+	p.serve(connected.WrapListener(listener), server)
 	return server, nil
 }
 
@@ -188,8 +194,8 @@
 	}()
 }
 
-func (p *process) listenMetrics() (*http.Server, error) {
-	return p.listen(p.settings.MetricsAddr, promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+func (p *process) listenMetrics(ctx context.Context) (*http.Server, error) {
+	return p.listen(ctx, metricsListener, p.settings.MetricsAddr, promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 }
 
 // wait returns when the process is asked to stop or a server failed. Until then
@@ -223,12 +229,12 @@
 	if err != nil {
 		return err
 	}
-	ready, err := p.listen(s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Accepting() && !ingress.Stopping.Load() }))
+	ready, err := p.listen(ctx, readyListener, s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Accepting() && !ingress.Stopping.Load() }))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = ready.Close() }()
-	metrics, err := p.listenMetrics()
+	metrics, err := p.listenMetrics(ctx)
 	if err != nil {
 		return err
 	}
@@ -284,11 +290,11 @@
 		return cli.Exit(err, exitSettings)
 	}
 	defer c.Close()
-	calls, err := p.listen(s.ControlAddr, &platform.Calls{Control: c, Logger: p.logger})
+	calls, err := p.listen(ctx, controlListener, s.ControlAddr, &platform.Calls{Control: c, Logger: p.logger})
 	if err != nil {
 		return err
 	}
-	metrics, err := p.listenMetrics()
+	metrics, err := p.listenMetrics(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/flamingoreeld/sockets_test.go
+++ b/cmd/flamingoreeld/sockets_test.go
@@ -194,17 +194,17 @@
 func TestSocketOptions(t *testing.T) {
 	p := &process{logger: &log.Logger{Handler: discard.New()}, serverErrors: make(chan error, 4)}
 	got := make(map[string]socketOptions)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 
 	control := fmt.Sprintf("127.0.0.1:%d", freePort(t))
-	server, err := p.listen(control, http.NotFoundHandler())
+	server, err := p.listen(ctx, controlListener, control, http.NotFoundHandler())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = server.Close() })
 	got["control, readiness and metrics"] = accepted(t, control)
 
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
 	entry := fmt.Sprintf("127.0.0.1:%d", freePort(t))
 	ingress := &platform.Ingress{Gateway: testGateway(t), Connections: callers.NewConnections(), Bodies: callers.NewBodies(0)}
 	server, err = p.listenCallers(ctx, entry, ingress)
