Keep receive buffers from growing with long heads

Cause: what a caller sends while the process lacks processor time waits in the kernel, which counts towards the memory of the VM.

Changed: once an unfinished head has 16 KiB, the receive buffer is fixed at the kernel's default; after a refusal it is reduced to the least, because the rest is only discarded. Bodies of ordinary callers keep buffers that grow.

Failed try: a receive buffer of 16 KiB for all connections, inherited from the listener, and enlarged while a body above 16 KiB is read.

--- a/internal/callers/connection_limit.go
+++ b/internal/callers/connection_limit.go
@@ -76,6 +76,18 @@
 
 // writeNow writes to a connection as much as its send buffer takes at once.
 func writeNow(conn net.Conn, text string) {
+	// The caller may have closed the connection, and gets no response then.
+	withDescriptor(conn, func(fd int) { _ = unix.Sendto(fd, []byte(text), unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil) })
+}
+
+// setReceiveBuffer sets the receive buffer of a connection in bytes, which then no longer
+// grows with what is read. A failure leaves it as it is.
+func setReceiveBuffer(conn net.Conn, size int) {
+	withDescriptor(conn, func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+}
+
+// withDescriptor calls f with the descriptor of a connection, unless it is closed.
+func withDescriptor(conn net.Conn, f func(fd int)) {
 	if tracked, ok := conn.(*trackedConn); ok {
 		conn = tracked.Conn
 	}
@@ -83,12 +95,7 @@
 	if !ok {
 		return
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return // closed by the server
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
 	}
-	// The caller may have closed the connection, and gets no response then.
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.Sendto(int(fd), []byte(text), unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil)
-	})
 }
--- a/internal/callers/head_limit.go
+++ b/internal/callers/head_limit.go
@@ -19,6 +19,15 @@
 	// connection, which can destroy the response before the caller has read it.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 64 << 10
+	// longHeadBytes is the size of an unfinished head from which the receive buffer of
+	// its connection no longer grows, and longHeadBuffer the size in bytes to which it is
+	// set (the kernel doubles it). It is the kernel's default size: a smaller buffer
+	// delayed later bodies of 64 KiB on loopback by 0.4 s.
+	longHeadBytes  = 16 << 10
+	longHeadBuffer = 64 << 10
+	// refusedBuffer is the receive buffer in bytes after a refusal; the kernel raises it
+	// to its least size.
+	refusedBuffer = 1
 )
 
 // tooLargeResponse is sent when a head exceeds Limits.HeadBytes while it arrives.
@@ -48,9 +57,13 @@
 		c.mu.Unlock()
 		return false
 	}
+	grewLong := tracked.head.bytes >= longHeadBytes && tracked.head.bytes-int64(len(data)) < longHeadBytes
 	closed := c.removeExcess(nil)
 	c.mu.Unlock()
 	closeExcess(closed)
+	if grewLong {
+		setReceiveBuffer(conn, longHeadBuffer)
+	}
 	return true
 }
 
@@ -59,6 +72,7 @@
 func (w *trackedConn) refuseHead(buf []byte) error {
 	// Nothing was written on the connection for this request.
 	writeNow(w, tooLargeResponse)
+	setReceiveBuffer(w, refusedBuffer)
 	if half, ok := w.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
--- a/internal/callers/head_limit_test.go
+++ b/internal/callers/head_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/flamingoreel/flamingoreel/internal/items"
 )
 
@@ -54,6 +57,52 @@
 	checkRefused(t, "lowered limit", c, r, "x")
 }
 
+// Guards against a receive buffer that grows with a long head, and against one that
+// stays as it is for what is discarded after a refusal.
+func TestReceiveBufferOfLongHeads(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	conns := NewConnections()
+	conns.Limit(Bound{}, func() Limits { return Limits{HeadBytes: 2 * longHeadBytes} })
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	server, err := conns.WrapListener(listener).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	conns.ConnState(server, http.StateNew)
+	size := func() (size int) {
+		withDescriptor(server, func(fd int) { size, err = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return size
+	}
+	if _, err := client.Write(make([]byte, longHeadBytes)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(server, make([]byte, longHeadBytes)); err != nil {
+		t.Fatal(err)
+	}
+	if got := size(); got != 2*longHeadBuffer {
+		t.Errorf("the receive buffer has %d bytes with a long head, want %d", got, 2*longHeadBuffer)
+	}
+	go func() { _, _ = client.Write(make([]byte, 4*longHeadBytes)) }()
+	if _, err := io.ReadFull(server, make([]byte, 4*longHeadBytes)); !errors.Is(err, errHeadTooLarge) {
+		t.Errorf("got %v, want %v", err, errHeadTooLarge)
+	}
+	if got := size(); got >= longHeadBytes {
+		t.Errorf("the receive buffer has %d bytes after a refusal", got)
+	}
+}
+
 // received returns the bytes of all heads that have arrived.
 func (s *testServer) received() (bytes int64) {
 	s.conns.mu.Lock()
