--- a/internal/callers/pipeline.go
+++ b/internal/callers/pipeline.go
@@ -393,12 +393,6 @@
 	c.server.remove(c)
 }
 
-// Limits of awaitClose.
-const (
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 256 << 10
-)
-
 // awaitClose closes the sending direction and reads what the caller still sends. If a
 // connection is closed with unread bytes, the kernel resets it, and the caller may lose
 // the last response.
