Bound the estimated service time of a route

A route without a known response took its latency objective divided by 2.7 as its service time. The initial value is now bounded by the timeout in the same way as by the objective.

The average itself took the ratio of the observed to the expected latency without a bound: a delay of the entry's own link or of a few targets made the expected times of all targets of the route exceed the timeout. An observation now counts up to a factor of three, the estimate stays within twice the usual value, which follows a rise within a minute, and it decays without responses.

Ruled out: a median of recent observations. When more than half of them are delayed, as with a delay of the entry's own link, it follows them all the same.

--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -38,29 +38,21 @@
 	return placement.Subset(g.cfg.Addr, entries, targets)
 }
 
-// Parameters of the service time of a route.
-const (
-	// latencyObjectivePerWork is the usual ratio of a route's latency objective to
-	// the service time of a request. It gives the estimate used before the
-	// first response.
-	latencyObjectivePerWork = 2.7
-	// routeWorkWeight is the weight of a new observation.
-	routeWorkWeight = 0.05
-)
-
 // workOf returns the service time of a route's requests on an average target
 // without load; the mutex is held.
 func (g *Gateway) workOf(name string, route *items.Route) time.Duration {
-	if work := g.routeWork[name]; work > 0 {
-		return work
-	}
-	return time.Duration(float64(route.LatencyObjective) / latencyObjectivePerWork)
+	return g.routeWork[name].Value(g.now(), placement.InitialWork(route.LatencyObjective, route.Timeout))
 }
 
 // updateWork adds an observation to the service time of a route; the mutex is
 // held.
-func (g *Gateway) updateWork(name string, known, observed time.Duration) {
-	g.routeWork[name] = known + time.Duration(routeWorkWeight*float64(observed-known))
+func (g *Gateway) updateWork(name string, route *items.Route, observed time.Duration) {
+	w := g.routeWork[name]
+	if w == nil {
+		w = new(placement.WorkEstimate)
+		g.routeWork[name] = w
+	}
+	w.Add(g.now(), placement.InitialWork(route.LatencyObjective, route.Timeout), observed)
 }
 
 // pressure returns the queue pressure at the targets of a service; the mutex is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 	// view.
 	subsets map[string]map[string]bool
 	// routeWork holds, by route name, the usual service time of a request.
-	routeWork map[string]time.Duration
+	routeWork map[string]*placement.WorkEstimate
 	// samples holds, by service, the keys and service times of sharded services
 	// observed since the last watch.
 	samples map[string]*registry.Samples
@@ -190,7 +190,7 @@
 		targetStates: make(map[fleet.Incarnation]*targetState),
 		averages:     make(map[string]*placement.ServiceAverage),
 		retryBudgets: make(map[string]*retryBudget), pressures: make(map[string]*placement.LoadShedder), splits: make(map[string]*split),
-		routeWork: make(map[string]time.Duration),
+		routeWork: make(map[string]*placement.WorkEstimate),
 		subsets:   make(map[string]map[string]bool),
 		samples:   make(map[string]*registry.Samples), stopping: newStopping(),
 		path: reach.NewPath(), relayPeers: reach.NewPeers(reach.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -104,7 +104,7 @@
 		c.state.Refused()
 	case res.resp.Status < 500:
 		work := g.workOf(a.name, a.route)
-		g.updateWork(a.name, work, c.state.Succeeded(now, now-sent, work, c.endpoint.Slots))
+		g.updateWork(a.name, a.route, c.state.Succeeded(now, now-sent, work, c.endpoint.Slots))
 		if a.sharded && (s.Load == nil || s.Load.Waiting == 0) {
 			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, now-sent)
 		}
