Let estimates age and probe targets that are expected to be late

The load, slowdown and latency correction of a target changed only with a response.

Estimates now decay from 2 s after the last response on. A request whose response is expected too late is sent as a probe if a healthy target could respond in time. Probes of all entries together are bounded to 8 per second and target; one entry alone sends one every 1 to 4 s.

Ruled out: decay alone, which either releases the requests of 195 entries to a slow holder every few seconds or takes minutes at one entry; and a full weight for the first observation after a pause, since a single latency varies by a factor of two (chosen by reasoning, not measured).

--- a/internal/gateway/availability_property_test.go
+++ b/internal/gateway/availability_property_test.go
@@ -90,7 +90,7 @@
 func (m *availabilityModel) choose() {
 	a := m.active("/post/x", "1")
 	m.g.mu.Lock()
-	c, failure := a.pick()
+	c, failure := a.pick(true)
 	m.g.mu.Unlock()
 	if failure != nil {
 		m.checkRefusal(a, failure)
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -255,7 +255,7 @@
 	if failure != nil {
 		t.Fatal(failure)
 	}
-	b.g.updateAvailability(choice{e, c.state}, ResponseInfo{Pause: time.Hour})
+	b.g.updateAvailability(choice{endpoint: e, state: c.state}, ResponseInfo{Pause: time.Hour})
 	if r := a.send(context.Background(), c); r.failure == nil || r.failure.Outcome() != errkind.NotRun {
 		t.Errorf("got %+v, want a request that was not sent", r)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -15,6 +15,9 @@
 type choice struct {
 	endpoint *fleet.Endpoint
 	state    *targetState
+	// probe reports that the response is expected after the deadline; see
+	// placement.Probe.
+	probe bool
 }
 
 // choose returns the target of the next attempt and counts it as started. It
@@ -29,7 +32,7 @@
 		}
 		a.g.mu.Lock()
 		changed := a.g.changed
-		c, failure := a.pick()
+		c, failure := a.pick(true)
 		wait := a.usableAt - a.g.now()
 		a.g.mu.Unlock()
 		switch {
@@ -46,8 +49,9 @@
 	}
 }
 
-// pick chooses among the targets; the gateway's mutex is held.
-func (a *activeRequest) pick() (choice, *errkind.Error) {
+// pick chooses among the targets. mayProbe permits a target from which no response is
+// expected in time. The gateway's mutex is held.
+func (a *activeRequest) pick(mayProbe bool) (choice, *errkind.Error) {
 	g := a.g
 	view := g.view.Load()
 	now := g.now()
@@ -83,9 +87,11 @@
 			Stats: &t.TargetStats, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold,
 			OutsideSubset: !a.sharded && !preferred[e.ID] && g.cfg.Regions[e.DataCentre] == g.cfg.Region, Explore: a.route.Kind.Idempotent(),
 		})
-		choices = append(choices, choice{e, t})
+		choices = append(choices, choice{endpoint: e, state: t})
 	}
 	left := a.arrived + a.route.LatencyObjective - now
+	entries := len(view.Entries())
+	g.average(a.service).Entries = entries
 	i, expected := placement.Choose(now, g.workOf(a.name, a.route), left, g.rng, candidates)
 	if i < 0 {
 		g.notePathIfBlocked(now, endpoints)
@@ -94,13 +100,21 @@
 		}
 		return choice{}, errkind.New(errkind.TargetUnreachable, "none of the %d targets of %s is available", len(endpoints), a.service)
 	}
+	probe := -1
 	if now+expected > a.deadline {
-		return choice{}, errkind.New(errkind.Overloaded, "the expected response time of %v exceeds the remaining %v", expected.Round(time.Millisecond), (a.deadline - now).Round(time.Millisecond))
+		least := g.routeWork[a.name].Least(now)
+		if mayProbe && !g.stopping.endsBefore(a.deadline) {
+			probe = placement.Probe(now, least, a.deadline-now, entries, candidates)
+		}
+		if probe < 0 {
+			return choice{}, errkind.New(errkind.Overloaded, "the expected response time of %v exceeds the remaining %v", expected.Round(time.Millisecond), (a.deadline - now).Round(time.Millisecond))
+		}
+		i, expected, choices[probe].probe = probe, least, true
 	}
 	if g.stopping.endsBefore(now + stopReserve*expected) {
 		return choice{}, errStopping()
 	}
-	if !a.admit(view, now, expected) {
+	if probe < 0 && !a.admit(view, now, expected) {
 		// Another region may have capacity, for example after the loss of a
 		// data centre.
 		if i, expected = placement.Fastest(now, g.workOf(a.name, a.route), candidates); !placement.WithinBudget(expected, left) {
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		t.usedSinceCheck = false
-		list = append(list, choice{e, t})
+		list = append(list, choice{endpoint: e, state: t})
 	}
 	return list
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -79,7 +79,7 @@
 	}
 	for _, e := range b.g.view.Load().Endpoints("s") {
 		b.g.mu.Lock()
-		c := choice{e, b.g.stateOf(e)}
+		c := choice{endpoint: e, state: b.g.stateOf(e)}
 		b.g.mu.Unlock()
 		began := time.Now()
 		if _, healthy := b.g.checkHealth(ctx, c); healthy && e.ID != "t8" {
--- a/internal/gateway/health_test.go
+++ b/internal/gateway/health_test.go
@@ -63,7 +63,7 @@
 		t.Fatal(r.Err)
 	}
 	e, _ := b.g.view.Load().Endpoint("raw")
-	c := choice{e, b.g.stateOf(e)}
+	c := choice{endpoint: e, state: b.g.stateOf(e)}
 	if _, healthy := b.g.checkHealth(context.Background(), c); healthy {
 		t.Error("a duplicate of another response counts as a health check")
 	}
@@ -73,7 +73,7 @@
 	if got := conns.Load(); got != 2 {
 		t.Errorf("%d connections, want a new one after the duplicate", got)
 	}
-	if _, healthy := b.g.checkHealth(context.Background(), choice{e, b.g.stateOf(e)}); healthy {
+	if _, healthy := b.g.checkHealth(context.Background(), choice{endpoint: e, state: b.g.stateOf(e)}); healthy {
 		t.Error("a duplicate of another response counts as a health check")
 	}
 	if _, healthy := b.g.checkHealth(context.Background(), c); !healthy {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -25,7 +25,7 @@
 	g := a.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c, failure := a.pick()
+	c, failure := a.pick(false)
 	if failure != nil {
 		return choice{}, false
 	}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -195,7 +195,7 @@
 	state.throttle.Update(placement.Limit{Named: true, Rate: 4})
 	a.reserved = reservation{holder.Incarnation, b.g.now()}
 	state.Block(forever)
-	if _, failure := a.pick(); failure == nil || a.usableAt != 0 {
+	if _, failure := a.pick(true); failure == nil || a.usableAt != 0 {
 		t.Errorf("got %v, to be tried again at %v", failure, a.usableAt)
 	}
 }
--- a/internal/gateway/path_sample_test.go
+++ b/internal/gateway/path_sample_test.go
@@ -20,7 +20,7 @@
 		if e.ID == "t0" || e.ID == "t1" {
 			up[e.Address] = true
 		} else {
-			b.g.blockUntilHealthy(choice{e, b.g.stateOf(e)})
+			b.g.blockUntilHealthy(choice{endpoint: e, state: b.g.stateOf(e)})
 		}
 		b.g.mu.Unlock()
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -210,7 +210,7 @@
 	state := g.stateOf(e)
 	g.mu.Unlock()
 	info := g.cfg.Dialect.Read(resp)
-	g.updateAvailability(choice{e, state}, ResponseInfo{Leaving: info.Leaving, Limit: info.Limit})
+	g.updateAvailability(choice{endpoint: e, state: state}, ResponseInfo{Leaving: info.Leaving, Limit: info.Limit})
 }
 
 // label returns the value of the metrics label outcome.
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -310,7 +310,7 @@
 	lostAt := bed.g.now()
 	for _, e := range bed.g.view.Load().AllEndpoints() {
 		bed.g.mu.Lock()
-		c := choice{e, bed.g.stateOf(e)}
+		c := choice{endpoint: e, state: bed.g.stateOf(e)}
 		bed.g.mu.Unlock()
 		bed.g.crashes.Lost(lostAt, processOf(e.Incarnation), []uint64{7})
 		for range 3 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -90,6 +90,9 @@
 		c.state.Block(now + fullBackoff)
 	case failure != nil:
 		label = string(failure.Kind)
+		if failure.Kind == errkind.AnswerTimeout && now >= a.deadline {
+			c.state.TimedOut(now)
+		}
 		atOnce := failure.Kind == errkind.TargetUnreachable || errors.Is(failure, upstream.ErrUnbounded)
 		if failure.Kind != errkind.AnswerTimeout && (c.state.Failed() >= failuresBeforeCheck || atOnce) {
 			g.blockUntilHealthy(c)
@@ -104,6 +107,9 @@
 		c.state.Refused()
 	case res.resp.Status < 500:
 		work := g.workOf(a.name, a.route)
+		if c.probe {
+			c.state.ProbeSucceeded()
+		}
 		g.updateWork(a.name, a.route, c.state.Succeeded(now, now-sent, work, c.endpoint.Slots))
 		if a.sharded && (s.Load == nil || s.Load.Waiting == 0) {
 			g.sampleWork(c.endpoint.Service, c.endpoint.Incarnation, now-sent)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -105,6 +105,17 @@
 	blockedUntil time.Duration
 	// nextCold is the earliest time of the next request while the target is cold.
 	nextCold time.Duration
+	// evidenceAt is the time of the last report or response. From then on the
+	// estimates age.
+	evidenceAt time.Duration
+	// calmSlowdown is the slowdown without disturbances, updated at calmAt.
+	calmSlowdown float64
+	calmAt       time.Duration
+	// nextProbe is the earliest time of the next probe, probeInterval the time from
+	// that one to the next.
+	nextProbe, probeInterval time.Duration
+	// probeAnswered reports that the next report is that of a response to a probe.
+	probeAnswered bool
 }
 
 // Started records that a request is sent to the target.
@@ -120,49 +131,59 @@
 // after Ended: the request of the response must no longer count as in flight.
 func (t *TargetStats) AddReport(now time.Duration, l Load) {
 	t.otherLoad = math.Max(0, float64(l.Running+l.Waiting-t.InFlight))
-	t.ServiceAverage.add(t.otherLoad, l.Slowdown)
+	t.ServiceAverage.add(now, t.otherLoad, l.Slowdown)
 	if t.reports == 0 {
-		t.meanOtherLoad = t.ServiceAverage.averageLoad()
+		t.meanOtherLoad = t.ServiceAverage.averageLoad(now)
 	}
 	t.reports++
-	t.meanOtherLoad += loadWeight * (t.otherLoad - t.meanOtherLoad)
-	t.reportedAt = now
+	if t.probeAnswered {
+		t.meanOtherLoad, t.probeAnswered = t.otherLoad, false
+	}
+	trust := ageWeight(now, t.reportedAt, t.ServiceAverage.sharers())
+	weight := updateWeight(loadWeight, trust)
+	t.meanOtherLoad = t.agedLoad(now, trust)
+	t.meanOtherLoad += weight * (t.otherLoad - t.meanOtherLoad)
+	t.reportedAt, t.evidenceAt = now, now
 	if l.Slowdown <= 0 {
 		return
 	}
+	t.updateCalm(now, l.Slowdown)
 	t.slowdown = l.Slowdown
 	if t.meanSlowdown == 0 {
 		t.meanSlowdown = l.Slowdown
 	}
-	t.meanSlowdown += loadWeight * (l.Slowdown - t.meanSlowdown)
+	t.meanSlowdown = aged(t.meanSlowdown, t.calmSlowdown, trust)
+	t.meanSlowdown += weight * (l.Slowdown - t.meanSlowdown)
 }
 
 // Succeeded records the latency of a successful response to a request whose usual
 // service time is work. It returns the service time that this latency corresponds
 // to on an average target without load.
 func (t *TargetStats) Succeeded(now, latency, work time.Duration, slots int) time.Duration {
+	trust := t.trust(now)
+	if t.correction == 0 {
+		trust = 1 // A first response is not more reliable than others.
+	}
 	t.failures = 0
-	t.failureRate *= 1 - failureRateWeight
+	t.failureRate *= t.trust(now) * (1 - failureRateWeight)
 	expected := t.ExpectedLatency(now, slots, work)
 	if expected <= 0 {
 		return work
 	}
 	ratio := float64(latency) / float64(expected)
-	if t.correction == 0 {
-		t.correction = 1
-	}
-	t.correction *= 1 + correctionWeight*(math.Min(ratio, maxCorrection)-1)
+	t.correction = t.latencyCorrection(now) * (1 + updateWeight(correctionWeight, trust)*(math.Min(ratio, maxCorrection)-1))
 	t.correction = math.Min(math.Max(t.correction, minCorrection), maxCorrection)
+	t.evidenceAt = now
 	return time.Duration(float64(work) * ratio)
 }
 
 // latencyCorrection returns the correction of the estimated latency, 1 if there is
-// no observation yet.
-func (t *TargetStats) latencyCorrection() float64 {
+// no observation yet. It decays to 1 as the last response ages.
+func (t *TargetStats) latencyCorrection(now time.Duration) float64 {
 	if t.correction == 0 {
 		return 1
 	}
-	return t.correction
+	return math.Pow(t.correction, t.trust(now))
 }
 
 // Blocked reports whether the target may not be chosen at now.
@@ -194,23 +215,27 @@
 func (t *TargetStats) Refused() { t.failureRate += failureRateWeight * (1 - t.failureRate) }
 
 // estimatedRequests returns the estimated number of requests at the target. As the
-// last report ages, the estimate decays to the average load.
+// last report ages, the estimate decays to the average load of the target, and that to
+// the average load of the service.
 func (t *TargetStats) estimatedRequests(now time.Duration) float64 {
 	if t.reports == 0 {
-		return float64(t.InFlight) + t.ServiceAverage.averageLoad()
+		return float64(t.InFlight) + t.ServiceAverage.averageLoad(now)
 	}
 	weight := math.Exp2(-float64(now-t.reportedAt) / float64(reportHalfLife))
-	return float64(t.InFlight) + t.meanOtherLoad + weight*(t.otherLoad-t.meanOtherLoad)
+	mean := t.agedLoad(now, t.trust(now))
+	return float64(t.InFlight) + mean + weight*(t.otherLoad-mean)
 }
 
 // estimatedSlowdown returns the estimated slowdown. As the last report ages, the
-// estimate decays to the average slowdown.
+// estimate decays to the average slowdown of the target, and that to the one without
+// disturbances.
 func (t *TargetStats) estimatedSlowdown(now time.Duration) float64 {
 	if t.meanSlowdown == 0 {
-		return t.ServiceAverage.averageSlowdown()
+		return t.ServiceAverage.averageSlowdown(now)
 	}
 	weight := math.Exp2(-float64(now-t.reportedAt) / float64(slowdownHalfLife))
-	return t.meanSlowdown + weight*(t.slowdown-t.meanSlowdown)
+	mean := aged(t.meanSlowdown, t.calmSlowdown, t.trust(now))
+	return mean + weight*(t.slowdown-mean)
 }
 
 // queueFactor returns the estimated latency of a new request as a multiple of its
@@ -224,7 +249,7 @@
 // ExpectedLatency returns the estimated latency at the target of a new request with the
 // service time work.
 func (t *TargetStats) ExpectedLatency(now time.Duration, slots int, work time.Duration) time.Duration {
-	return time.Duration(float64(work) * t.queueFactor(now, slots) * t.estimatedSlowdown(now) * t.latencyCorrection())
+	return time.Duration(float64(work) * t.queueFactor(now, slots) * t.estimatedSlowdown(now) * t.latencyCorrection(now))
 }
 
 // AllowCold reports whether the entry may send a request to the cold target now,
@@ -325,7 +350,7 @@
 // score rates the candidate for a request with the service time work.
 func (c Candidate) score(now, work time.Duration, rng *rand.Rand) scoredCandidate {
 	expected := c.expected(now, work)
-	penalized := float64(expected) * (1 + failureRateCost*c.Stats.failureRate)
+	penalized := float64(expected) * (1 + failureRateCost*c.Stats.failureRate*c.Stats.trust(now))
 	score := penalized*(1+scoreJitter*rng.Float64()) + float64(distanceCost(c.Distance))
 	if c.OutsideSubset {
 		score += float64(outsideSubsetCost)
