--- a/internal/controller/handlers.go
+++ b/internal/controller/handlers.go
@@ -38,6 +38,12 @@
 		case !c.loop.changesAllowed(now):
 			done <- errVotersMissing
 		default:
+			if cmd.Patch != nil {
+				if invalid := c.loop.state.Items().CheckPlaces(*cmd.Patch); invalid != nil {
+					done <- invalid
+					return
+				}
+			}
 			c.loop.propose(now, cmd, done)
 		}
 	})
