Bound the rows of a target and the responses to its heartbeats

When a service shrinks, the rows of the targets that leave went to those with the fewest keys, and no rows were merged.

Each placement now counts rows. Adjacent rows of a holder with many rows are merged under a new fence, and a row without a holder becomes a part of a neighbouring one if no target has room.

Ruled out: merging in the response only. A merged row would have the fence of one of its parts, and the fence of the other part would fall when the rows are listed separately again.

--- a/internal/registry/demand.go
+++ b/internal/registry/demand.go
@@ -91,10 +91,6 @@
 	minSampleWindow = time.Second
 	// maxMovesPerRebalance limits the number of ranges that one rebalancing moves.
 	maxMovesPerRebalance = 12
-	// maxRowsPerTarget limits the rows of a target to which rebalancing moves keys:
-	// the response to a heartbeat is limited to 4 KiB, and a row with its handover
-	// takes 42 bytes.
-	maxRowsPerTarget = 88
 	// maxUnsettledRows is the maximum number of unsettled rows at which a rebalancing
 	// starts. The demand for a moving row is attributed to its next holder.
 	maxUnsettledRows = 48
@@ -217,8 +213,10 @@
 	work    map[fleet.Incarnation]time.Duration
 	rate    map[fleet.Incarnation]float64
 	samples map[fleet.Incarnation]int
-	// rows is the number of rows that each target is to hold.
-	rows map[fleet.Incarnation]int
+	// rows is the number of rows that each target is to hold, limit the number above
+	// which it gets no others.
+	rows  map[fleet.Incarnation]int
+	limit int
 }
 
 // utilisation returns the utilisation of a target with more sampled requests than it
@@ -260,6 +258,7 @@
 	}
 	d.expire(now)
 	m := newLoadModel(now, d, s, shard, usable)
+	m.limit = r.rowLimit()
 	d.utilisation = make(map[fleet.Incarnation]float64, len(usable))
 	for _, in := range usable {
 		d.utilisation[in] = m.utilisation(in, 0)
@@ -304,7 +303,7 @@
 	m := &loadModel{
 		keys: d.sortedKeys(), work: make(map[fleet.Incarnation]time.Duration),
 		rate: make(map[fleet.Incarnation]float64), samples: make(map[fleet.Incarnation]int),
-		rows: make(map[fleet.Incarnation]int),
+		rows: make(map[fleet.Incarnation]int), limit: maxRowsPerTarget,
 	}
 	maps.DeleteFunc(d.work, func(in fleet.Incarnation, _ workAverage) bool {
 		t, ok := s.Target(in.ID)
@@ -343,7 +342,7 @@
 		return cmp.Compare(m.latency(b, 0), m.latency(a, 0))
 	})
 	for _, from := range sources {
-		if m.samples[from] < minSamples {
+		if m.samples[from] < minSamples || m.rows[from] >= m.limit+maxSplitRows-maxRowsPerTarget {
 			continue
 		}
 		if m.moveHotKey(shard, usable, from) {
@@ -370,7 +369,7 @@
 			continue
 		}
 		to := m.fastestTarget(usable, samples)
-		if time.Duration(minLatencyRatio*float64(m.latency(to, samples))) > m.latency(from, 0) {
+		if m.rows[to] >= m.limit || time.Duration(minLatencyRatio*float64(m.latency(to, samples))) > m.latency(from, 0) {
 			return false
 		}
 		m.markMove(shard, movableRange{row: i, from: key, to: key, samples: samples}, from, to)
@@ -408,7 +407,7 @@
 	limit := time.Duration(float64(m.latency(from, 0)) / minLatencyRatio)
 	best, most := from, 0
 	for _, to := range usable {
-		if to == from || m.rows[to] >= maxRowsPerTarget {
+		if to == from || m.rows[to] >= m.limit {
 			continue
 		}
 		n := sort.Search(m.samples[from], func(n int) bool {
@@ -453,11 +452,14 @@
 // markMove splits a range off its row and marks it to move to another target.
 func (m *loadModel) markMove(shard *fleet.ShardMap, p movableRange, from, to fleet.Incarnation) {
 	i := p.row
+	m.rows[from]--
 	if p.to < shard.Rows[i].To {
 		splitRow(shard, i, p.to+1)
+		m.rows[from]++
 	}
 	if p.from > shard.Rows[i].From {
 		i = splitRow(shard, i, p.from) + 1
+		m.rows[from]++
 	}
 	shard.Rows[i].Next = to
 	m.samples[from] -= p.samples
--- a/internal/registry/owner_test.go
+++ b/internal/registry/owner_test.go
@@ -194,7 +194,9 @@
 // for a hot range.
 func (sim *simulation) injectFaults() {
 	if sim.chance(0.002) {
+		maxRows := sim.leader.reg.maxRows
 		sim.leader.reg = New(sim.now, simDeployment)
+		sim.leader.reg.maxRows = maxRows
 	}
 	if sim.chance(0.003) {
 		h := sim.targets[sim.rng.IntN(len(sim.targets))]
@@ -278,6 +280,9 @@
 		if seed%2 == 0 {
 			sim.leader.reg.rowsPerTarget = 8
 		}
+		if seed%4 < 2 {
+			sim.leader.reg.maxRows = 6 // Rows are merged all the time.
+		}
 		held := 0
 		for sim.now < simLength {
 			sim.step()
--- a/internal/registry/plan.go
+++ b/internal/registry/plan.go
@@ -30,6 +30,7 @@
 
 // Plan returns the shard changes that are due.
 func (r *Registry) Plan(now time.Duration, s *fleet.State) []fleet.Command {
+	r.forgetMoves(s)
 	var commands []fleet.Command
 	for _, item := range s.Items().All() {
 		if item.Collection != items.Services || item.Removed || !item.Service.Sharded {
@@ -134,30 +135,32 @@
 // whose data centre is taken out. It also plans rows for targets that have none and
 // rebalances the load. It reports whether it changed any row.
 func (r *Registry) revise(now time.Duration, s *fleet.State, shard *fleet.ShardMap, usable []fleet.Incarnation) bool {
-	load := keyCounts(shard, usable)
+	a := newAssignment(shard, usable, r.rowLimit())
 	changed := false
 	for i := range shard.Rows {
 		row := &shard.Rows[i]
 		switch {
 		case r.reassignable(now, s, shard.Service, *row):
-			r.reassign(shard, row, load)
+			r.reassign(now, s, a, i)
 			changed = true
 		case row.Moving():
-			if _, ok := load[row.Next]; !ok {
-				row.Next = leastLoaded(load)
-				load[row.Next] += row.To - row.From + 1
+			if !a.usable(row.Next) {
+				a.moveTo(i, a.destination(i))
 				changed = true
 			}
 		default:
 			if t, _ := s.Target(row.Holder.ID); t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) {
-				row.Next = leastLoaded(load)
-				load[row.Next] += row.To - row.From + 1
+				a.moveTo(i, a.destination(i))
 				changed = true
 			}
 		}
 	}
-	changed = r.fillEmptyTargets(shard, load) || changed
-	return r.rebalance(now, s, shard, usable) || changed
+	shard.Rows = slices.DeleteFunc(shard.Rows, emptyRow)
+	changed = r.fillEmptyTargets(a) || changed
+	changed = r.rebalance(now, s, shard, usable) || changed
+	a = newAssignment(shard, usable, r.rowLimit())
+	changed = a.mergeRows() || changed
+	return a.moveExcess() || changed
 }
 
 // reassignable reports whether a row may be assigned to another target: its holder
@@ -217,12 +220,20 @@
 	return now > latestGrantExpiry(since)
 }
 
-// reassign assigns a row to its next holder with a new fence.
-func (r *Registry) reassign(shard *fleet.ShardMap, row *fleet.Row, load map[fleet.Incarnation]int) {
+// reassign assigns a row to its next holder with a new fence. If that one has too many
+// rows, the row becomes a part of a neighbouring one.
+func (r *Registry) reassign(now time.Duration, s *fleet.State, a *assignment, i int) {
+	shard, row := a.shard, &a.shard.Rows[i]
+	if !a.usable(row.Next) {
+		a.moveTo(i, a.destination(i))
+	}
 	next := row.Next
-	if _, ok := load[next]; !ok {
-		next = leastLoaded(load)
-		load[next] += row.To - row.From + 1
+	settled := func(row fleet.Row) bool {
+		return !row.Moving() && row.Granted && !r.reassignable(now, s, shard.Service, row)
+	}
+	if a.rows[next] > a.limit && a.absorb(i, next, settled) {
+		a.rows[next]--
+		return
 	}
 	handover := r.released[rowIDOf(shard.Service, *row)]
 	shard.LastFence++
@@ -235,20 +246,22 @@
 
 // fillEmptyTargets plans to move rows to each target without keys from the targets
 // with the most keys. It reports whether it changed any row.
-func (r *Registry) fillEmptyTargets(shard *fleet.ShardMap, load map[fleet.Incarnation]int) bool {
+func (r *Registry) fillEmptyTargets(a *assignment) bool {
+	shard, load := a.shard, a.keys
 	wanted := int(newTargetShare * float64(fleet.MaxKey+1) / float64(max(len(load), 1)))
 	changed := false
 	for _, in := range sortedTargets(load) {
 		if load[in] > 0 {
 			continue
 		}
-		for load[in] < wanted {
+		for load[in] < wanted && a.rows[in] < a.limit {
 			i := largestRow(shard, load)
 			if i < 0 {
 				return changed
 			}
 			load[shard.Rows[i].Holder] -= markKeys(shard, i, in, wanted-load[in])
 			load[in] = keysMovingTo(shard, in)
+			a.rows[in]++
 			changed = true
 		}
 	}
@@ -328,17 +341,6 @@
 	return load
 }
 
-// leastLoaded returns the target with the fewest keys.
-func leastLoaded(load map[fleet.Incarnation]int) fleet.Incarnation {
-	var best fleet.Incarnation
-	for _, in := range sortedTargets(load) {
-		if best.ID == "" || load[in] < load[best] {
-			best = in
-		}
-	}
-	return best
-}
-
 // sortedTargets returns the targets sorted by ID, so that plans are deterministic.
 func sortedTargets(load map[fleet.Incarnation]int) []fleet.Incarnation {
 	list := make([]fleet.Incarnation, 0, len(load))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -132,7 +132,10 @@
 	// rowsPerTarget is the number of rows that each target gets in the initial
 	// assignment; 0 stands for the default.
 	rowsPerTarget int
-	liveness      map[fleet.Incarnation]*liveness
+	// maxRows is the number of rows of a target above which it gets no others; 0 stands
+	// for the default.
+	maxRows  int
+	liveness map[fleet.Incarnation]*liveness
 	// proposed is the last proposed shard change, by service.
 	proposed map[string]proposal
 	// announcements holds when targets announced themselves, by service.
@@ -284,11 +287,11 @@
 }
 
 // HeldRows returns the rows that an incarnation is to hold, which excludes rows that are
-// moving away from it.
+// moving away from it. They are limited to what a response has room for.
 func HeldRows(shard fleet.ShardMap, in fleet.Incarnation) []fleet.Row {
 	var rows []fleet.Row
 	for _, row := range shard.Rows {
-		if row.Holder == in && !row.Moving() {
+		if row.Holder == in && !row.Moving() && len(rows) < maxGrantRows {
 			rows = append(rows, row)
 		}
 	}
@@ -301,8 +304,12 @@
 func (r *Registry) grant(now time.Duration, l *liveness, shard fleet.ShardMap, in fleet.Incarnation) (Grant, fleet.Notification) {
 	g := Grant{Renew: true, Hold: MaxGrantDuration, Rows: HeldRows(shard, in)}
 	notice := fleet.Notification{Service: shard.Service, Holder: in}
+	named := 0
 	for _, row := range shard.Rows {
-		if row.Holder == in && row.Granted == row.Moving() {
+		if row.Holder == in && !row.Moving() {
+			named++
+		}
+		if row.Holder == in && row.Granted == row.Moving() && (row.Moving() || named <= maxGrantRows) {
 			notice.Rows = append(notice.Rows, fleet.RowRef{From: row.From, Fence: row.Fence, Granted: !row.Moving()})
 		}
 	}
