Place keys in the regions that their routes allow

Keys of a service were placed without regard to the allowed regions of its routes.

Keys are now placed in the regions that most restricted routes allow, and in any allowed one if no target there is usable. A change that leaves a service without a common region is accepted with a warning in the log.

Ruled out: rejecting such changes, since routes are changed one after the other and states of earlier builds may contradict already; and placement by the demand of each route, which would move keys whenever demand changes.

--- a/internal/controller/handlers.go
+++ b/internal/controller/handlers.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 		return nil, errkind.Wrap(errkind.BadRequest, err, "change cannot be read")
 	}
 	arrived := c.now()
+	var conflicts []string
 	result, failure := call(ctx, c.loop, urgent, func(done chan<- *errkind.Error) {
 		now := c.now()
 		switch {
@@ -43,6 +45,7 @@
 					done <- invalid
 					return
 				}
+				conflicts = c.loop.state.Items().RegionConflicts(*cmd.Patch)
 			}
 			c.loop.propose(now, cmd, done)
 		}
@@ -59,6 +62,9 @@
 		return nil, result // The VM that forwarded the change retries and logs the outcome.
 	}
 	c.logChange(cmd, result)
+	if result == nil && len(conflicts) > 0 {
+		c.cfg.Logger.WithField("services", strings.Join(conflicts[:min(len(conflicts), maxLoggedItems)], ",")).Warn("routes of sharded services allow no common region")
+	}
 	if result != nil {
 		return nil, result
 	}
--- a/internal/items/match.go
+++ b/internal/items/match.go
@@ -50,21 +50,7 @@
 // asks it before it proposes the patch. Apply does not ask it: replicas of an earlier build
 // would apply the same patch.
 func (s *Set) CheckPlaces(p Patch) *errkind.Error {
-	inForce := make(map[string]Item)
-	for key, item := range s.items {
-		if key.Collection == Routes {
-			inForce[key.Name] = item
-		}
-	}
-	changed := make(map[string]bool)
-	for _, item := range p.Items {
-		if item.Collection != Routes {
-			continue
-		}
-		if current, ok := inForce[item.Name]; !ok || current.Version < item.Version {
-			inForce[item.Name], changed[item.Name] = item, true
-		}
-	}
+	inForce, changed := s.routesAfter(p)
 	routes := make(map[routeKey]string)
 	for _, name := range slices.Sorted(maps.Keys(inForce)) {
 		item := inForce[name]
--- a/internal/registry/plan.go
+++ b/internal/registry/plan.go
@@ -77,12 +77,23 @@
 	return now-seen.lastJoin >= collectQuietTime || now-seen.first >= maxCollectTime
 }
 
-// usable returns the targets that may get keys, sorted by ID. Cold targets handle
+// usable returns the targets that may get keys, sorted by ID: those in the regions that
+// most routes allow, or else those in a region that any route allows. Cold targets handle
 // few requests, so they get keys only if there are no other targets.
 func (r *Registry) usable(now time.Duration, s *fleet.State, service string) []fleet.Incarnation {
+	regions := s.Items().RegionsOf(service)
+	list := r.usableIn(now, s, service, regions.Best)
+	if len(list) == 0 {
+		list = r.usableIn(now, s, service, regions.Any)
+	}
+	return list
+}
+
+// usableIn returns the usable targets of the allowed regions.
+func (r *Registry) usableIn(now time.Duration, s *fleet.State, service string, allowed func(region string) bool) []fleet.Incarnation {
 	var list, cold []fleet.Incarnation
 	for _, t := range s.Targets() {
-		if t.Service != service || t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) {
+		if t.Service != service || t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) || !r.inRegion(t, allowed) {
 			continue
 		}
 		l := r.liveness[t.Incarnation]
@@ -136,6 +147,7 @@
 // rebalances the load. It reports whether it changed any row.
 func (r *Registry) revise(now time.Duration, s *fleet.State, shard *fleet.ShardMap, usable []fleet.Incarnation) bool {
 	a := newAssignment(shard, usable, r.rowLimit())
+	misplaced := r.misplaced(s, a)
 	changed := false
 	for i := range shard.Rows {
 		row := &shard.Rows[i]
@@ -149,7 +161,7 @@
 				changed = true
 			}
 		default:
-			if t, _ := s.Target(row.Holder.ID); t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) {
+			if t, _ := s.Target(row.Holder.ID); t.Condition != fleet.Ready || s.DataCentreOut(t.DataCentre) || misplaced(t) {
 				a.moveTo(i, a.destination(i))
 				changed = true
 			}
