Exchange the vote of a control VM whose process has ended early

A voter that is gone for good without notice kept its vote for a quarter of the catch-up time, 1 s, although its caught-up successor stood by. While a learner stands by, the leader now connects to a voter that has missed a heartbeat. A refused connection shows that the process has ended, so that the voter counts as lost at once. Suspended, slow and cut-off voters refuse nothing and keep their votes as long as before.

Ruled out: a shorter time for every silence. 0.4 s would be needed, which exchanges voters that are only slow for a moment.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -69,6 +69,7 @@
 	votersShortSince    time.Duration
 	lastPlan            time.Duration
 	lastMembershipCheck time.Duration
+	lastRefusalCheck    time.Duration
 	// roster holds what is known about the replicas of the other control VMs.
 	roster *roster
 	// proposals holds the commands whose results are awaited, by log index.
@@ -196,6 +197,7 @@
 		l.lastPlan = now
 		l.timed(workPlan, func() { l.plan(now) })
 	}
+	l.checkSilentVoters(now)
 	if now-l.lastMembershipCheck >= membershipInterval {
 		l.lastMembershipCheck = now
 		l.timed(workMembers, func() { l.reconcileMembers(now) })
--- a/internal/controller/members_test.go
+++ b/internal/controller/members_test.go
@@ -253,7 +253,7 @@
 	r.reported(time.Second, map[string]time.Duration{"e/0": 800 * time.Millisecond})
 	r.elected(2 * time.Second)
 	lost := func(silence time.Duration, heard bool) bool {
-		return r.lost(consensus.ReplicaStatus{ID: "e/0", Voter: true, SinceLastReply: silence, Heard: heard})
+		return r.lost(0, consensus.ReplicaStatus{ID: "e/0", Voter: true, SinceLastReply: silence, Heard: heard})
 	}
 	if !lost(minSilence, false) {
 		t.Error("the reported silence doesn't count")
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -20,6 +20,10 @@
 	// minSilence is the shortest silence that counts: two missed heartbeats and the
 	// longest round trip.
 	minSilence = 3 * heartbeatInterval
+	// refusalSilence is the silence after which a voter whose address refuses connections
+	// counts as lost: a missed heartbeat. Its process has ended, whereas one that is
+	// suspended, slow or cut off refuses nothing.
+	refusalSilence = heartbeatInterval + tickInterval
 )
 
 // candidate is the last introduction of a control VM, whose replica may become a
@@ -55,6 +59,8 @@
 	stopping map[string]bool
 	// reports holds what the last leader reported about silent replicas, by ID.
 	reports map[string]reportedSilence
+	// refusals holds when the addresses of voters last refused a connection, by ID.
+	refusals map[string]time.Duration
 	// electedAt is when this VM became the leader.
 	electedAt time.Duration
 	// entrySeen is when each entry VM was last known to watch a control VM, by link
@@ -68,7 +74,7 @@
 	return &roster{
 		wanted: 2*toleratedLosses + 1, silentAfter: max(time.Duration(silentFraction*float64(catchUp)), minSilence),
 		candidates: make(map[string]candidate), stopping: make(map[string]bool), reports: make(map[string]reportedSilence),
-		entrySeen: make(map[string]time.Duration),
+		entrySeen: make(map[string]time.Duration), refusals: make(map[string]time.Duration),
 	}
 }
 
@@ -98,6 +104,7 @@
 func (r *roster) elected(now time.Duration) {
 	r.electedAt = now
 	clear(r.entrySeen)
+	clear(r.refusals)
 }
 
 // silent returns how long replicas have been silent, without those that reply.
@@ -123,7 +130,11 @@
 
 // lost reports whether a replica has been silent for so long that it counts as lost. A
 // new leader gives every replica the time to reply.
-func (r *roster) lost(status consensus.ReplicaStatus) bool {
+func (r *roster) lost(now time.Duration, status consensus.ReplicaStatus) bool {
+	refusedAt, refused := r.refusals[status.ID]
+	if refused && status.SinceLastReply >= refusalSilence && now-refusedAt < status.SinceLastReply {
+		return true
+	}
 	return status.SinceLastReply >= minSilence && r.silenceOf(status) >= r.silentAfter
 }
 
@@ -164,7 +175,7 @@
 	}
 	for _, s := range status.Replicas {
 		v.replicas[s.ID] = memberStatus{
-			caughtUp: s.CaughtUp, silence: r.silenceOf(s), lost: r.lost(s), stopping: r.stopping[s.ID],
+			caughtUp: s.CaughtUp, silence: r.silenceOf(s), lost: r.lost(now, s), stopping: r.stopping[s.ID],
 		}
 	}
 	return v
--- a/internal/controller/membership_property_test.go
+++ b/internal/controller/membership_property_test.go
@@ -20,6 +20,9 @@
 	simCatchUp   = 4 * time.Second
 	simTolerated = 2
 	simGrace     = 6 * time.Second
+	// removalTime is how long a VM that is gone without notice counts as lost although
+	// its successor has caught up.
+	removalTime = 500 * time.Millisecond
 )
 
 // simVM is a control VM with its disk. node is nil while its process is down.
@@ -225,6 +228,12 @@
 		s.resign(vm)
 		return
 	}
+	for _, id := range vm.roster.view(s.now, vm.node, nil).silentVoters() {
+		if other := s.vm(id); other == nil || other.node == nil {
+			vm.roster.refusals[id] = s.now
+			vm.lastCheck = 0
+		}
+	}
 	if s.now-vm.lastCheck >= membershipInterval {
 		vm.lastCheck = s.now
 		places := make(map[string]place)
@@ -411,6 +420,16 @@
 		vm.gone = true
 		s.kill(vm, false)
 		s.after(time.Second, func() { s.add(vm) })
+	case kind == 8 && serving < 8: // gone without notice, after its successor stood by
+		s.add(vm)
+		s.after(2*simCatchUp, func() {
+			if vm.gone || vm.node == nil || vm.lostUntil > s.now || vm.resigning || vm == s.leader() || s.lost() >= simTolerated {
+				return
+			}
+			s.loseFor(vm, removalTime)
+			vm.gone = true
+			s.kill(vm, false)
+		})
 	case kind == 2:
 		restart(false)
 	case kind == 3:
--- /dev/null
+++ b/internal/controller/refusal_test.go
@@ -0,0 +1,86 @@
+package controller
+
+import (
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/flamingoreel/flamingoreel/internal/consensus"
+)
+
+// Guards against a voter that is gone for good and keeps its vote although a successor
+// stands by (review/7), and against the exchange of a voter that is suspended, slow or cut
+// off for a moment: its address refuses nothing.
+func TestEndedVoterGivesWayEarly(t *testing.T) {
+	const now = time.Minute
+	silentFor := func(silence time.Duration) consensus.ReplicaStatus {
+		return consensus.ReplicaStatus{ID: "e/0", Voter: true, SinceLastReply: silence, Heard: true}
+	}
+	r := newRoster(2, 4*time.Second)
+	if r.lost(now, silentFor(r.silentAfter-time.Millisecond)) {
+		t.Error("a voter that refuses nothing is lost before the usual time")
+	}
+	r.refusals["e/0"] = now
+	if !r.lost(now+time.Millisecond, silentFor(refusalSilence)) {
+		t.Error("a voter that refuses connections isn't lost after a missed heartbeat")
+	}
+	if r.lost(now, silentFor(heartbeatInterval)) {
+		t.Error("a voter is lost between two heartbeats")
+	}
+	if r.lost(now+time.Second, silentFor(refusalSilence)) {
+		t.Error("a refusal counts although the voter replied since")
+	}
+	r.elected(now)
+	if r.lost(now, silentFor(refusalSilence)) {
+		t.Error("a refusal counts in a later term")
+	}
+}
+
+// Guards against connections to silent voters that no learner could replace.
+func TestOnlyReplaceableVotersAreChecked(t *testing.T) {
+	m := five()
+	v := viewOf(m, "a/0")
+	silent := m.Voters[3]
+	v.replicas[silent] = memberStatus{caughtUp: true, silence: refusalSilence}
+	if got := v.silentVoters(); len(got) > 0 {
+		t.Errorf("%v are checked without a learner", got)
+	}
+	v.current = m.WithLearner("f/0")
+	if got := v.silentVoters(); len(got) > 0 {
+		t.Errorf("%v are checked while the learner catches up", got)
+	}
+	v.replicas["f/0"] = memberStatus{caughtUp: true}
+	if got := v.silentVoters(); !slices.Equal(got, []string{silent}) {
+		t.Errorf("%v are checked, want %s", got, silent)
+	}
+	v.current = m.WithVoter("f/0")
+	if got := v.silentVoters(); !slices.Equal(got, []string{silent}) {
+		t.Errorf("%v are checked with a sixth voter, want %s", got, silent)
+	}
+}
+
+// Guards against an address that only does not respond and counts as one that refuses.
+func TestRefusedConnectionsAreRecognised(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if refusesConnections(l.Addr().String()) {
+		t.Error("a process that accepts nothing counts as ended")
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !refusesConnections(l.Addr().String()) {
+		t.Error("an address without a process doesn't refuse connections")
+	}
+}
+
+// Guards against the loss of the log by two losses half a second after the removal of a VM
+// whose successor stood by. Without the checks this seed loses it.
+func TestVotesSurviveARemovalWithoutNotice(t *testing.T) {
+	if violation, trace := runMembership(t, 738); violation != "" {
+		t.Errorf("%s\n%s", violation, trace)
+	}
+}
