--- a/internal/gateway/downloads_test.go
+++ b/internal/gateway/downloads_test.go
@@ -215,7 +215,7 @@
 	defer b.g.mu.Unlock()
 	// The estimate starts at 74 ms and falls towards the time of the head; a transfer
 	// takes 150 ms.
-	if got := b.g.routeWork["download"]; got <= 0 || got > 74*time.Millisecond {
+	if got := b.g.routeWork["download"].Value(b.g.now(), 0); got <= 0 || got > 74*time.Millisecond {
 		t.Errorf("the service time is %v", got)
 	}
 }
--- a/internal/gateway/invalid_health_test.go
+++ b/internal/gateway/invalid_health_test.go
@@ -70,7 +70,7 @@
 				Incarnation: fleet.Incarnation{ID: "raw", StartMs: 1}, Service: "s", Address: startRaw(t, s.response), DataCentre: "d", Slots: 4,
 			}}})
 			e, _ := b.g.view.Load().Endpoint("raw")
-			if _, healthy := b.g.checkHealth(context.Background(), choice{e, b.g.stateOf(e)}); healthy != s.healthy {
+			if _, healthy := b.g.checkHealth(context.Background(), choice{endpoint: e, state: b.g.stateOf(e)}); healthy != s.healthy {
 				t.Errorf("healthy %v, want %v", healthy, s.healthy)
 			}
 		})
