Bound what control keeps of targets and control VMs that are gone

A target that left without notice stayed ready in the state for ever, and a control VM that was replaced stayed in the list that each answer to a watch carries. Above 1,024 targets the leader now ends those without a heartbeat for 10 minutes. Control VMs that neither introduce themselves nor are named by the leader are forgotten after 10 minutes. What a leader remembers of replicas, moves and incarnations is bounded too.

Heartbeats of services without keys are answered by any control VM, so that the leader did not know which targets are silent. Above 512 targets each control VM forwards one a minute and target. No target ends for this reason while a control VM of an earlier build takes part.

Ruled out: an age in the state machine, since replicas of earlier builds would not remove the same targets; and ending every silent target, which entries may still reach.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -95,6 +95,11 @@
 	// lastHello is when each control VM last introduced itself to this VM, by link
 	// address.
 	lastHello map[string]time.Duration
+	// reloadedSeeds are the control VMs that reloaded settings name.
+	reloadedSeeds []string
+	// lastNamed is when each known control VM was last named by another one, by link
+	// address.
+	lastNamed map[string]time.Duration
 	// samples are those not yet sent to the leader, by service.
 	samples map[string]registry.Samples
 
@@ -106,7 +111,7 @@
 func New(cfg Config) (*Controller, error) {
 	c := &Controller{
 		cfg: cfg, clock: clock.Start(),
-		known: make(map[string]watch.Peer), watchers: make(map[string]watcher), lastHello: make(map[string]time.Duration),
+		known: make(map[string]watch.Peer), watchers: make(map[string]watcher), lastHello: make(map[string]time.Duration), lastNamed: make(map[string]time.Duration),
 		samples: make(map[string]registry.Samples), suspicions: suspicions{origin: rand.Uint64()},
 	}
 	for _, seed := range cfg.Seeds {
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -44,7 +44,7 @@
 	return call(ctx, c.loop, heartbeatLane(b), func(views chan<- localView) {
 		shard, _ := c.loop.state.ShardMap(b.Target.Service)
 		views <- localView{
-			redundant: c.loop.redundant(b), revision: shard.Revision, rows: registry.HeldRows(shard, b.Target.Incarnation),
+			redundant: c.loop.redundant(b) && !c.loop.refreshDue(c.now(), b.Target.Incarnation), revision: shard.Revision, rows: registry.HeldRows(shard, b.Target.Incarnation),
 		}
 	})
 }
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -70,6 +70,9 @@
 	lastPlan            time.Duration
 	lastMembershipCheck time.Duration
 	lastRefusalCheck    time.Duration
+	// refreshedAt is when a heartbeat of a target that repeats what is known was last
+	// forwarded to the leader.
+	refreshedAt map[fleet.Incarnation]time.Duration
 	// roster holds what is known about the replicas of the other control VMs.
 	roster *roster
 	// proposals holds the commands whose results are awaited, by log index.
@@ -89,7 +92,7 @@
 		c: c, logger: c.cfg.Logger,
 		events: newQueue(), ended: make(chan struct{}),
 		state: fleet.NewState(), changed: make(chan struct{}), deltas: make(map[uint64]*sharedDelta),
-		roster: newRoster(c.cfg.ToleratedLosses, c.cfg.CatchUp), proposals: make(map[uint64]proposal),
+		roster: newRoster(c.cfg.ToleratedLosses, c.cfg.CatchUp), proposals: make(map[uint64]proposal), refreshedAt: make(map[fleet.Incarnation]time.Duration),
 	}
 }
 
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -79,6 +79,7 @@
 		for _, peer := range peers {
 			c.sendHello(ctx, peer.Addr)
 		}
+		c.forgetVMs(c.now())
 		if !clock.Sleep(ctx, interval) {
 			return
 		}
@@ -92,7 +93,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	payload, err := wire.Marshal(&hello{Peer: c.self(), ReplicaID: c.loop.replicaID, Watchers: c.recentWatchers(), Level: fleet.RevivalLevel})
+	payload, err := wire.Marshal(&hello{Peer: c.self(), ReplicaID: c.loop.replicaID, Watchers: c.recentWatchers(), Level: fleet.RefreshLevel})
 	if err != nil {
 		c.cfg.Logger.WithError(err).Error("introduction cannot be encoded")
 		return
@@ -167,12 +168,16 @@
 		}
 		if p.Addr != c.cfg.Addr {
 			c.known[p.Addr] = p
+			c.lastNamed[p.Addr] = c.now()
 		}
 	}
 }
 
 // AddSeeds adds the control VMs that reloaded settings name.
 func (c *Controller) AddSeeds(addrs []string) {
+	c.mu.Lock()
+	c.reloadedSeeds = slices.Clone(addrs)
+	c.mu.Unlock()
 	for _, addr := range addrs {
 		c.addPeers([]watch.Peer{{Addr: addr}})
 	}
@@ -287,6 +292,8 @@
 func (l *loop) reconcileMembers(now time.Duration) {
 	silent := l.roster.silent(l.replica.Status(now).Replicas)
 	l.c.silent.Store(&silent)
+	l.roster.forget(now, l.replica.Membership())
+	l.endSilentTargets(now)
 	l.registry.Revives = l.roster.lowestLevel(l.replicaID, l.replica.Membership()) >= fleet.RevivalLevel
 	next, reason := nextMembership(l.roster.view(now, l.replica, l.placesOfVMs()))
 	if reason == "" {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -141,7 +141,7 @@
 // lowestLevel returns the lowest level of the members' state machines, 0 if that of a
 // member isn't known. self is the replica of this VM.
 func (r *roster) lowestLevel(self string, m consensus.Membership) int {
-	lowest := fleet.RevivalLevel
+	lowest := fleet.RefreshLevel
 	for _, id := range m.Members() {
 		c := r.candidates[vmAddr(id)]
 		if id != self && c.replicaID != id {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -62,6 +62,9 @@
 	return all
 }
 
+// TargetCount returns the number of targets, ended ones included.
+func (s *State) TargetCount() int { return len(s.targets) }
+
 // AtAddress returns the targets at an address, ended ones included.
 func (s *State) AtAddress(address string) []Target {
 	var found []Target
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -146,6 +146,11 @@
 // Command.Revived. All replicas must have it before such a command is proposed.
 const RevivalLevel = 1
 
+// RefreshLevel is the level from which on a control VM forwards a heartbeat of each target
+// from time to time although it repeats what is known. All control VMs must have it before
+// silent targets count as ended.
+const RefreshLevel = 2
+
 // ShardMapChange replaces rows of a service with the rows of ShardMap. It has no effect
 // if any row that they overlap changed after revision Base: the plan was then
 // made from outdated rows.
--- a/internal/registry/plan.go
+++ b/internal/registry/plan.go
@@ -31,6 +31,7 @@
 // Plan returns the shard changes that are due.
 func (r *Registry) Plan(now time.Duration, s *fleet.State) []fleet.Command {
 	r.forgetMoves(s)
+	r.forgetIncarnations(now, s)
 	var commands []fleet.Command
 	for _, item := range s.Items().All() {
 		if item.Collection != items.Services || item.Removed || !item.Service.Sharded {
--- a/internal/registry/rows.go
+++ b/internal/registry/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 	// mergeShare is the part of maxRowsPerTarget above which adjacent rows of a target
 	// are merged. Below it they keep their fences and handovers.
 	mergeShare = 0.75
-	// maxRememberedRows is the number of rows above which the moves of past assignments
+	// maxRememberedRows is the number of rows, or of incarnations, above which past ones
 	// are forgotten.
 	maxRememberedRows = 4096
 )
@@ -216,3 +217,15 @@
 	}
 	r.released, r.movingSince = released, movingSince
 }
+
+// forgetIncarnations drops what is known of silent incarnations that the state doesn't have
+// any more, once there is much of it.
+func (r *Registry) forgetIncarnations(now time.Duration, s *fleet.State) {
+	if len(r.liveness) <= maxRememberedRows {
+		return
+	}
+	maps.DeleteFunc(r.liveness, func(in fleet.Incarnation, l *liveness) bool {
+		t, ok := s.Target(in.ID)
+		return now-l.lastHeartbeat >= goneAfter && (!ok || t.Incarnation != in)
+	})
+}
