Begin the time between probes anew after a response

The time between two probes of a target doubles up to 4 s while probes show no recovery, but it stayed there after one did, so that the next recovery was noticed later. A response to a probe now resets it. The average load of a target with recent reports is no longer computed from that of the service.

--- a/internal/placement/recovery.go
+++ b/internal/placement/recovery.go
@@ -55,6 +55,9 @@
 // agedLoad returns the average load of other entries after it decayed towards the average
 // of the service, if that is lower.
 func (t *TargetStats) agedLoad(now time.Duration, trust float64) float64 {
+	if trust == 1 {
+		return t.meanOtherLoad
+	}
 	return aged(t.meanOtherLoad, math.Min(t.meanOtherLoad, t.ServiceAverage.averageLoad(now)), trust)
 }
 
@@ -124,5 +127,5 @@
 func (t *TargetStats) ProbeSucceeded() {
 	t.correction, t.slowdown, t.meanSlowdown = 0, 0, 0
 	t.otherLoad, t.meanOtherLoad, t.failureRate = 0, 0, 0
-	t.probeAnswered = true
+	t.probeAnswered, t.probeInterval = true, 0
 }
--- a/internal/placement/recovery_test.go
+++ b/internal/placement/recovery_test.go
@@ -307,6 +307,27 @@
 	}
 }
 
+// Guards against a long wait for the second recovery of a target: the time between probes
+// begins anew with a response.
+func TestProbeIntervalBeginsAnew(t *testing.T) {
+	stats := new(TargetStats)
+	candidates := []Candidate{{Stats: stats, Slots: recoverySlots}}
+	probe := func(from time.Duration) (at time.Duration) {
+		for at = from; Probe(at, recoveryWork, recoveryTimeout, 1, candidates) < 0; at += 100 * time.Millisecond {
+		}
+		return at
+	}
+	last := time.Duration(0)
+	for range 5 {
+		last = probe(last)
+	}
+	stats.ProbeSucceeded()
+	first := probe(last + maxProbeInterval)
+	if got := probe(first) - first; got != minProbeInterval {
+		t.Errorf("%v between two probes after a recovery, want %v", got, minProbeInterval)
+	}
+}
+
 // Guards against probes of hundreds of overloaded targets that let all requests through.
 func TestProbesOfAServiceAreBounded(t *testing.T) {
 	average := new(ServiceAverage)
