Count the probes of targets that are expected to be late

Operators see with flamingoreel_gateway_late_probes_total that an entry tries targets that it refuses most requests for.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -110,6 +110,7 @@
 			return choice{}, errkind.New(errkind.Overloaded, "the expected response time of %v exceeds the remaining %v", expected.Round(time.Millisecond), (a.deadline - now).Round(time.Millisecond))
 		}
 		i, expected, choices[probe].probe = probe, least, true
+		g.metrics.lateProbes.Inc()
 	}
 	if g.stopping.endsBefore(now + stopReserve*expected) {
 		return choice{}, errStopping()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,7 +18,10 @@
 	// said about further requests.
 	unavailable *prometheus.CounterVec
 	probes      prometheus.Counter
-	faults      prometheus.Counter
+	// lateProbes counts the requests that were sent although their response was expected
+	// after the deadline.
+	lateProbes prometheus.Counter
+	faults     prometheus.Counter
 	// abandoned counts the requests whose callers were found to have left right before
 	// a send.
 	abandoned prometheus.Counter
@@ -49,6 +52,9 @@
 		probes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "flamingoreel_gateway_probes_total", Help: "Health checks of targets that failed before.",
 		}),
+		lateProbes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "flamingoreel_gateway_late_probes_total", Help: "Requests sent although their response was expected too late, to notice that a target has recovered.",
+		}),
 		faults: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "flamingoreel_gateway_faults_total", Help: "Panics that were caught.",
 		}),
@@ -69,7 +75,7 @@
 		Name: "flamingoreel_gateway_crash_suspicions_total", Help: "Suspicions that a request crashed a target: recorded by this VM, received from others, or cleared by it.",
 	}, []string{"event"})
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.sends, m.unavailable, m.probes, m.faults, m.abandoned, m.relayed, m.pathChecks, m.crashChecks, m.suspicions)
+		registry.MustRegister(m.requests, m.latency, m.sends, m.unavailable, m.probes, m.lateProbes, m.faults, m.abandoned, m.relayed, m.pathChecks, m.crashChecks, m.suspicions)
 	}
 	return m
 }
