Collect all faults of a route

A check of a change before it is sent should name all faults of a route, but Route.check returned at the first. The conditions are now collected in the same order, and check still returns the first one, so refusals of changes have the same messages.

go test -race ./internal/items passes.

--- a/internal/items/set.go
+++ b/internal/items/set.go
@@ -115,35 +115,36 @@
 }
 
 func (r *Route) check(name string) *errkind.Error {
-	invalid := func(reason string) *errkind.Error {
-		return errkind.New(errkind.InvalidText, "route %q: %s", name, reason)
+	if faults := r.faults(name); len(faults) > 0 {
+		return errkind.New(errkind.InvalidText, "route %q: %s", name, faults[0])
+	}
+	return nil
+}
+
+// faults returns all reasons for which the route is invalid by itself.
+func (r *Route) faults(name string) []string {
+	var faults []string
+	refuse := func(invalid bool, reason string) {
+		if invalid {
+			faults = append(faults, reason)
+		}
 	}
 	weight := 0
+	incomplete := false
 	for _, share := range r.Split {
-		if share.Weight < 0 || share.Service == "" {
-			return invalid("each share needs a service and a weight of 0 or more")
-		}
+		incomplete = incomplete || share.Weight < 0 || share.Service == ""
 		weight += share.Weight
 	}
-	switch {
-	case name == "" || r.Host == "":
-		return invalid("the name and the host must not be empty")
-	case len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/':
-		return invalid("the prefix must begin and end with a slash")
-	case !r.Kind.Known():
-		return invalid("the kind is unknown")
-	case weight == 0:
-		return invalid("no service has a positive weight")
-	case r.MaxAttempts < 1:
-		return invalid("the number of attempts must be at least 1")
-	case r.Timeout <= 0 || r.LatencyObjective <= 0:
-		return invalid("the timeout and the target latency must be positive")
-	case r.LatencyObjective-r.Timeout >= maxLatencyExcess:
-		return invalid("the target latency exceeds the timeout by a minute or more")
-	case r.Priority < 0:
-		return invalid("the priority must not be negative")
-	}
-	return nil
+	refuse(incomplete, "each share needs a service and a weight of 0 or more")
+	refuse(name == "" || r.Host == "", "the name and the host must not be empty")
+	refuse(len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/', "the prefix must begin and end with a slash")
+	refuse(!r.Kind.Known(), "the kind is unknown")
+	refuse(weight == 0, "no service has a positive weight")
+	refuse(r.MaxAttempts < 1, "the number of attempts must be at least 1")
+	refuse(r.Timeout <= 0 || r.LatencyObjective <= 0, "the timeout and the target latency must be positive")
+	refuse(r.LatencyObjective-r.Timeout >= maxLatencyExcess, "the target latency exceeds the timeout by a minute or more")
+	refuse(r.Priority < 0, "the priority must not be negative")
+	return faults
 }
 
 func (s *Service) check(name string) *errkind.Error {
