Add flamingoreelctl check-items

Operators of the platform's roles had no tool that checks a change of routes, services or limits before they send it. check-items reads the body of a config.patch call and that of a config.get response, prints the findings of items.Lint to stderr and the differences to stdout, and ends with 2 if there is an error, as check does for the text. check and diff are unchanged. callers.BodyMemory gives the memory for bodies that a limit is compared with.

Left out: unknown fields, which control ignores as well, and versions of removed items, which config.get does not return.

--- a/cmd/flamingoreelctl/main.go
+++ b/cmd/flamingoreelctl/main.go
@@ -1,5 +1,5 @@
 // Command flamingoreelctl checks, compares and applies the operators'
-// configuration text and reads the status of the system.
+// configuration text, checks changes of items, and reads the status of the system.
 package main
 
 import (
@@ -16,7 +16,7 @@
 	// exitFailed means that the command failed: a server refused the request or the
 	// change, or no server gave a final response.
 	exitFailed = 1
-	// exitFaults means that the settings or the text have faults; no change was made.
+	// exitFaults means that the settings, the text or the items have faults; no change was made.
 	exitFaults = 2
 )
 
--- a/cmd/flamingoreelctl/settings.go
+++ b/cmd/flamingoreelctl/settings.go
@@ -30,6 +30,7 @@
 	// whether the operator set it.
 	base      uint64
 	baseGiven bool
+	items     itemSettings
 }
 
 // env returns the environment variable of a flag.
@@ -53,6 +54,7 @@
 		},
 		Commands: []*cli.Command{
 			t.subcommand("check", "report all faults of FILE", fileOnly, t.check),
+			t.subcommand("check-items", "check a change of items in FILE and compare it with the items in force", fileAndItems, t.checkItems, itemFlags()...),
 			t.subcommand("diff", "compare FILE with the text in force", fileAndServer, t.diff),
 			t.subcommand("apply", "put FILE in force", fileAndServer, t.apply,
 				&cli.StringFlag{Name: "base", Usage: "configuration number that the change is based on; default is the current one"}),
@@ -69,12 +71,13 @@
 }
 
 // requirements are the inputs that a command requires.
-type requirements struct{ file, server bool }
+type requirements struct{ file, server, items bool }
 
 var (
 	fileOnly      = requirements{file: true}
 	serverOnly    = requirements{server: true}
 	fileAndServer = requirements{file: true, server: true}
+	fileAndItems  = requirements{file: true, items: true}
 )
 
 func (t *tool) subcommand(name, usage string, required requirements, run func(context.Context, settings) int, extra ...cli.Flag) *cli.Command {
@@ -142,5 +145,10 @@
 			addFault("--base: %q is not a configuration number", v)
 		}
 	}
+	if required.items {
+		var itemFaults []string
+		s.items, itemFaults = readItemSettings(c)
+		faults = append(faults, itemFaults...)
+	}
 	return s, faults
 }
--- a/internal/callers/bodies.go
+++ b/internal/callers/bodies.go
@@ -30,9 +30,13 @@
 	if memory <= 0 {
 		return &BodyReader{available: 1 << 62}
 	}
-	return &BodyReader{available: int64(bodyMemoryFraction * float64(memory))}
+	return &BodyReader{available: BodyMemory(memory)}
 }
 
+// BodyMemory returns how many bytes of a VM's memory the bodies of all requests in
+// progress may take together.
+func BodyMemory(memory int64) int64 { return int64(bodyMemoryFraction * float64(memory)) }
+
 func (b *BodyReader) reserve(n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
