Count a refused connection from before its attempt

The check of a silent voter recorded a refusal when the control goroutine handled it. A voter that was started again meanwhile, and had replied since the attempt, counted as refusing after its reply: its next late reply, 0.23 s, took its vote. The same holds for a refusal of an earlier term that is handled after the next election. The time is now taken before the attempt, so that any later reply or term outweighs it.

Ruled out: to drop refusals at each reply. Package consensus would have to report replies to the controller.

--- a/internal/controller/refusal.go
+++ b/internal/controller/refusal.go
@@ -42,19 +42,28 @@
 	l.lastRefusalCheck = now
 	for _, id := range l.roster.view(now, l.replica, nil).silentVoters() {
 		go func() {
-			if !refusesConnections(vmAddr(id)) {
+			at, refused := refusalOf(l.c.now, vmAddr(id))
+			if !refused {
 				return
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			l.post(ctx, urgent, func() {
-				l.roster.refusals[id] = l.c.now()
+				l.roster.refusals[id] = max(l.roster.refusals[id], at)
 				l.lastMembershipCheck = 0
 			})
 		}()
 	}
 }
 
+// refusalOf connects to an address. It returns since when the address is known to refuse
+// connections, which is before the attempt: the process may start and reply to the leader
+// between the refusal and its handling.
+func refusalOf(now func() time.Duration, addr string) (at time.Duration, refused bool) {
+	at = now()
+	return at, refusesConnections(addr)
+}
+
 // refusesConnections reports whether an address refuses connections.
 func refusesConnections(addr string) bool {
 	conn, err := net.DialTimeout("tcp", addr, refusalTimeout)
--- a/internal/controller/refusal_test.go
+++ b/internal/controller/refusal_test.go
@@ -77,6 +77,35 @@
 	}
 }
 
+// Guards against a voter that is started again and replies between the refusal and its
+// handling, and then loses its vote at its next late reply: the refusal has to count from
+// before the attempt.
+func TestRefusalCountsFromItsAttempt(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	clock := time.Minute
+	now := func() time.Duration {
+		clock += time.Second
+		return clock
+	}
+	at, refused := refusalOf(now, l.Addr().String())
+	if !refused || at != time.Minute+time.Second {
+		t.Errorf("refused %t at %v, want the time of the attempt", refused, at)
+	}
+	r := newRoster(2, 4*time.Second)
+	r.refusals["e/0"] = at
+	// The reply arrived 200 ms after the attempt.
+	status := consensus.ReplicaStatus{ID: "e/0", Voter: true, SinceLastReply: refusalSilence, Heard: true}
+	if r.lost(at+200*time.Millisecond+refusalSilence, status) {
+		t.Error("a refusal before the last reply counts")
+	}
+}
+
 // Guards against the loss of the log by two losses half a second after the removal of a VM
 // whose successor stood by. Without the checks this seed loses it.
 func TestVotesSurviveARemovalWithoutNotice(t *testing.T) {
