Take the vote of an ended voter only if its successor replies

A voter whose address refuses connections lost its vote as soon as a learner had caught up, which a learner counts as for 0.5 s after its last round. If both end together, as in a restart of their data centre, the vote went without a successor: four votes remained, and changes were refused for up to 3 s, until the voter was back as a learner. Before the early exchange the voter kept its vote if it was back within a second. The early removal now needs a learner that has not missed a heartbeat, and the check is repeated every 0.1 s until then. The removal after the usual silence and of a sixth voter are as before.

Ruled out: the same condition for every removal or for ready(), because a stopping voter would then keep its vote when its successor replies late once.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -128,16 +128,25 @@
 	return report.silent + status.SinceLastReply
 }
 
-// lost reports whether a replica has been silent for so long that it counts as lost. A
-// new leader gives every replica the time to reply.
+// lost reports whether a replica counts as lost: its process has ended or it has been
+// silent for too long.
 func (r *roster) lost(now time.Duration, status consensus.ReplicaStatus) bool {
-	refusedAt, refused := r.refusals[status.ID]
-	if refused && status.SinceLastReply >= refusalSilence && now-refusedAt < status.SinceLastReply {
-		return true
-	}
+	return r.silentTooLong(status) || r.ended(now, status)
+}
+
+// silentTooLong reports whether a replica has been silent for so long that it counts as
+// lost. A new leader gives every replica the time to reply.
+func (r *roster) silentTooLong(status consensus.ReplicaStatus) bool {
 	return status.SinceLastReply >= minSilence && r.silenceOf(status) >= r.silentAfter
 }
 
+// ended reports whether the address of a replica has refused a connection since its last
+// reply, so that its process has ended.
+func (r *roster) ended(now time.Duration, status consensus.ReplicaStatus) bool {
+	refusedAt, refused := r.refusals[status.ID]
+	return refused && status.SinceLastReply >= refusalSilence && now-refusedAt < status.SinceLastReply
+}
+
 // lowestLevel returns the lowest level of the members' state machines, 0 if that of a
 // member isn't known. self is the replica of this VM.
 func (r *roster) lowestLevel(self string, m consensus.Membership) int {
@@ -175,7 +184,8 @@
 	}
 	for _, s := range status.Replicas {
 		v.replicas[s.ID] = memberStatus{
-			caughtUp: s.CaughtUp, silence: r.silenceOf(s), lost: r.lost(now, s), stopping: r.stopping[s.ID],
+			caughtUp: s.CaughtUp, silence: r.silenceOf(s), stopping: r.stopping[s.ID],
+			lost: r.lost(now, s), ended: !r.silentTooLong(s) && r.ended(now, s),
 		}
 	}
 	return v
@@ -185,9 +195,11 @@
 type memberStatus struct {
 	caughtUp bool
 	silence  time.Duration
-	// lost says that the replica has been silent for too long, stopping that its process
-	// said that it stops.
+	// lost says that the replica has been silent for too long or that its process has
+	// ended, stopping that its process said that it stops.
 	lost, stopping bool
+	// ended says that the replica counts as lost only because its process has ended.
+	ended bool
 }
 
 // memberView is the input of the decision on the next membership change.
@@ -255,7 +267,7 @@
 	if len(v.ready()) == 0 || len(m.Voters) > v.wanted {
 		return m, ""
 	}
-	if old := v.mostSilent(); old != "" {
+	if old := v.mostSilent(); old != "" && v.replaceable(old) {
 		return m.Without(old), "voter is unresponsive"
 	}
 	if old := v.stoppingVoter(); old != "" {
--- a/internal/controller/refusal.go
+++ b/internal/controller/refusal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -24,13 +25,23 @@
 	}
 	var ids []string
 	for _, id := range v.current.Voters {
-		if id != v.self && !v.replicas[id].lost && v.replicas[id].silence >= refusalSilence {
+		r := v.replicas[id]
+		if id != v.self && (!r.lost || r.ended) && r.silence >= refusalSilence {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// replaceable reports whether a lost voter may lose its vote now. One whose process has just
+// ended keeps it until a learner is known to run: both may have ended together, and a vote
+// without a successor is missing until the voter is back as a learner.
+func (v memberView) replaceable(lost string) bool {
+	return !v.replicas[lost].ended || slices.ContainsFunc(v.ready(), func(id string) bool {
+		return v.replicas[id].silence < refusalSilence
+	})
+}
+
 // checkSilentVoters connects to the voters that have missed a heartbeat while a learner
 // stands by. A refused connection shows that the process of the voter has ended: it need
 // not be waited for as one that may be suspended.
--- a/internal/controller/refusal_test.go
+++ b/internal/controller/refusal_test.go
@@ -106,6 +106,37 @@
 	}
 }
 
+// Guards against a voter that ends together with the learner standing by, for example by a
+// restart of their data centre: without a successor the early removal leaves four votes, and
+// changes are refused until the voter is back as a learner.
+func TestEndedVoterKeepsItsVoteWhileItsSuccessorIsSilent(t *testing.T) {
+	m := five().WithLearner("f/0")
+	v := viewOf(m, "a/0")
+	v.replicas["e/0"] = memberStatus{lost: true, ended: true, silence: refusalSilence}
+	v.replicas["f/0"] = memberStatus{caughtUp: true, silence: refusalSilence}
+	if next, reason := nextMembership(v); reason != "" {
+		t.Errorf("got %+v: %s", next, reason)
+	}
+	if got := v.silentVoters(); !slices.Equal(got, []string{"e/0"}) {
+		t.Errorf("%v are checked again, want e/0: the successor may reply at any time", got)
+	}
+	v.replicas["f/0"] = memberStatus{caughtUp: true, silence: heartbeatInterval}
+	if next, _ := nextMembership(v); next.IsVoter("e/0") {
+		t.Errorf("got %+v, want the ended voter removed once its successor replies", next)
+	}
+	v.replicas["e/0"] = memberStatus{lost: true, silence: time.Second}
+	v.replicas["f/0"] = memberStatus{caughtUp: true, silence: refusalSilence}
+	if next, _ := nextMembership(v); next.IsVoter("e/0") {
+		t.Errorf("got %+v, want a voter removed after the usual time", next)
+	}
+	m = m.WithVoter("f/0")
+	v = viewOf(m, "a/0")
+	v.replicas["e/0"] = memberStatus{lost: true, ended: true, silence: refusalSilence}
+	if next, _ := nextMembership(v); next.IsVoter("e/0") {
+		t.Errorf("got %+v, want the ended one of six voters removed", next)
+	}
+}
+
 // Guards against the loss of the log by two losses half a second after the removal of a VM
 // whose successor stood by. Without the checks this seed loses it.
 func TestVotesSurviveARemovalWithoutNotice(t *testing.T) {
