Let responses that are late in any case give way on the link

Chunks were ordered by the latency objectives of their downloads, and all bytes of those with an earlier objective counted against a new download. One response of 60 MB of a route with an objective of 0.8 s took the whole link for 2.5 minutes, and all downloads meanwhile were refused; such a response needn't come from a route for downloads. Each of them also took a place among those that run at once, so that five of them kept all others from being started.

A download is now due at its objective, or when the link alone would have carried its rest if that is later. So a very long response uses what others leave, and gains priority as its end comes near. Of a response without a length, as many bytes as have passed are expected.

Ruled out: an upper limit for responses, because a valid response is delivered.

--- a/internal/linkshare/admission.go
+++ b/internal/linkshare/admission.go
@@ -78,7 +78,8 @@
 // them, the held part passes both directions one after the other.
 func (s *Share) expected(now time.Duration, d *Download) time.Duration {
 	rate := s.bulkRate(now)
-	before := s.owed(now, func(other *Download) bool { return other != d && other.objective <= d.objective })
+	due := s.due(now, d)
+	before := s.owed(now, func(other *Download) bool { return other != d && s.due(now, other) <= due })
 	own, held := float64(d.left[Out])/rate, float64(min(d.left[Out], holdBytes))/rate
 	return max(d.service+s.duration(held), s.duration(float64(before)/rate)) + s.duration(own)
 }
@@ -125,16 +126,21 @@
 	running := 0
 	var first *Download
 	for _, d := range s.downloads {
-		switch {
-		case !d.started && (first == nil || d.objective < first.objective):
+		if !d.started && (first == nil || d.objective < first.objective) {
 			first = d
-		case d.started && !d.stalled(now):
-			running++
 		}
 	}
 	if first == nil {
 		return nil, nil
 	}
+	due := s.due(now, first)
+	for _, d := range s.downloads {
+		// Those that are late in any case use what others leave of the link.
+		givesWay := s.due(now, d) > max(d.objective, due)
+		if d.started && !d.stalled(now) && !givesWay {
+			running++
+		}
+	}
 	if refusal := s.judge(now, first); refusal != nil {
 		s.End(first)
 		return first, refusal
--- a/internal/linkshare/share.go
+++ b/internal/linkshare/share.go
@@ -140,6 +140,8 @@
 	Bytes     int
 	Download  *Download
 	since     time.Duration
+	// due is when the download should be complete, as of since.
+	due time.Duration
 }
 
 // New returns the share of a link with a capacity in bytes per second, or nil if the link
@@ -155,16 +157,33 @@
 	return s
 }
 
-// dueFirst orders chunks by the latency objectives of their downloads. With the sum of
-// all bytes as the condition of admission, this order keeps what was promised at each
-// admission; chunks of one download keep their order.
+// dueFirst orders chunks by the times at which their downloads are due. With the sum of
+// the bytes that are due before as the condition of admission, this order keeps what was
+// promised at each admission; chunks of one download keep their order.
 func dueFirst(a, b *Chunk) bool {
-	if a.Download.objective != b.Download.objective {
-		return a.Download.objective < b.Download.objective
+	if a.due != b.due {
+		return a.due < b.due
 	}
 	return a.since < b.since
 }
 
+// due returns when a download should be complete: at its latency objective, or when the
+// link alone would have carried the rest if that is later. So a response that is late in
+// any case, such as one of many megabytes, gives way to those that can be in time, and is
+// completed soon once little is left.
+func (s *Share) due(now time.Duration, d *Download) time.Duration {
+	return max(d.objective, now+s.time(d.rest()))
+}
+
+// rest returns the number of bytes that still have to pass the link in the busier
+// direction. Of a response without a length, as many as have passed are expected.
+func (d *Download) rest() int64 {
+	if d.bulk && !d.announced {
+		return d.passed
+	}
+	return max(d.left[In], d.left[Out])
+}
+
 // Count records bytes that pass the link at once: those of short messages.
 func (s *Share) Count(now time.Duration, dir Direction, bytes int64) {
 	p := &s.paths[dir]
@@ -211,7 +230,7 @@
 		s.Count(now, dir, int64(n))
 		return nil
 	}
-	c := &Chunk{Ready: make(chan struct{}), Direction: dir, Bytes: min(n, chunkBytes), Download: d, since: now}
+	c := &Chunk{Ready: make(chan struct{}), Direction: dir, Bytes: min(n, chunkBytes), Download: d, since: now, due: s.due(now, d)}
 	d.asking++
 	s.paths[dir].chunks = append(s.paths[dir].chunks, c)
 	return c
--- a/internal/linkshare/share_test.go
+++ b/internal/linkshare/share_test.go
@@ -148,3 +148,59 @@
 		}
 	}
 }
+
+// Guards against one very long response that takes the whole link until its end, minutes
+// later, because it was due before the downloads that arrive during it.
+func TestVeryLongResponsesGiveWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		announced int64
+		count     int
+		lead      time.Duration
+	}{"known length": {60e6, 2 * pipelineDownloads, time.Second}, "unknown length": {-1, 1, 4 * time.Second}} {
+		s := New(testCapacity)
+		s.Observe("bundle", 90e3)
+		var huge []*Download
+		for range c.count {
+			d, _ := s.Admit(0, Demand{Route: "export", Objective: 800 * time.Millisecond})
+			s.Announce(0, d, c.announced)
+			huge = append(huge, d)
+		}
+		pass := func(now time.Duration, d *Download, n int) (passed int) {
+			for _, d := range huge {
+				if d.asking == 0 && s.Ask(now, d, In, 1<<20) != nil {
+					s.Track(d)
+				}
+			}
+			if d != nil && d.asking == 0 && n > 0 {
+				s.Ask(now, d, In, n)
+			}
+			for c, _ := s.Next(now, In); c != nil; c, _ = s.Next(now, In) {
+				if c.Download == d {
+					passed += c.Bytes
+				}
+			}
+			return passed
+		}
+		now := time.Duration(0)
+		for ; now < c.lead; now += 5 * time.Millisecond {
+			pass(now, nil, 0)
+		}
+		d, refusal := s.Admit(now, demand(now))
+		if refusal != nil {
+			t.Errorf("%s: refused beside longer ones that are late in any case: %+v", name, refusal)
+			continue
+		}
+		if first, _ := s.StartNext(now); first != d {
+			t.Errorf("%s: longer ones take all places", name)
+			continue
+		}
+		s.Announce(now, d, 90e3)
+		began, left := now, 90_000
+		for ; left > 0 && now < began+3*time.Second; now += 5 * time.Millisecond {
+			left -= pass(now, d, left)
+		}
+		if took := now - began; took > 500*time.Millisecond {
+			t.Errorf("%s: 90 KB took %v beside longer ones, %d bytes are left", name, took, left)
+		}
+	}
+}
