Admit a download of a refused route every five seconds

The expected size of a route is corrected by its own responses only, and a route that can't be in time by it was admitted only while nothing was owed to others. On a link that downloads of another route always use, one response of 2 MB kept a route of 90 KB refused for good (300 s in the test, without a single admission).

One download of a route is now admitted whatever is expected of it, if none of the route is under way and none was admitted for 5 s. It waits for its place as others do. Probes of a route whose downloads are really too long don't add up, since each excludes the next one.

Ruled out: sizes that age. They would admit more of a route that is really too long the longer it is refused.

--- a/internal/linkshare/admission.go
+++ b/internal/linkshare/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -34,7 +35,8 @@
 // A download is refused if its response would be late, given the bytes that are already
 // owed: it would use capacity that others need to be in time. While nothing is owed to
 // others, a download is always admitted: a late response is worth more than none, and an
-// expected size or service time that is too high is only corrected by a response.
+// expected size or service time that is too high is only corrected by a response. For the
+// same reason one download of a route is admitted if there was none for probeInterval.
 func (s *Share) Admit(now time.Duration, q Demand) (*Download, *Refusal) {
 	size := s.Expected(q.Route)
 	d := &Download{
@@ -43,16 +45,27 @@
 	}
 	if !d.limited {
 		d.started, d.startedAt = true, now
+		s.admittedAt[q.Route] = now
 		return d, nil
 	}
 	d.left = [directions]int64{int64(size), int64(size)}
+	d.probe = s.mayProbe(now, q.Route)
 	if refusal := s.judge(now, d); refusal != nil {
 		return nil, refusal
 	}
+	s.admittedAt[q.Route] = now
 	s.downloads = append(s.downloads, d)
 	return d, nil
 }
 
+// mayProbe reports whether a download of a route is admitted whatever is expected of it:
+// none was for some time, and none is under way, so that probes don't add up.
+func (s *Share) mayProbe(now time.Duration, route string) bool {
+	at, known := s.admittedAt[route]
+	underWay := slices.ContainsFunc(s.downloads, func(d *Download) bool { return d.route == route })
+	return !underWay && (!known || now-at >= probeInterval)
+}
+
 // Track counts a download that turned out to be long among those that are owed bytes.
 func (s *Share) Track(d *Download) {
 	if !d.limited && !d.ended && d.bulk {
@@ -66,7 +79,7 @@
 	expected := s.expected(now, d)
 	late := now + expected - d.objective
 	owed := s.owed(now, func(other *Download) bool { return other != d })
-	if late <= 0 || owed == 0 {
+	if late <= 0 || owed == 0 || d.probe {
 		return nil
 	}
 	drained := s.duration(float64(owed) / s.bulkRate(now))
--- a/internal/linkshare/share.go
+++ b/internal/linkshare/share.go
@@ -66,6 +66,10 @@
 	// at 2.5 times the load; with any number, the share was lower and short messages
 	// waited longer.
 	pipelineDownloads = 4
+	// probeInterval is the time without an admitted download of a route after which one is
+	// admitted although it is expected to be late. It exceeds the time in which a backlog
+	// drains, the longest latency objective of 3 s.
+	probeInterval = 5 * time.Second
 	// windowTime is the time in which the link carries the receive window of a
 	// connection to a target. The window is what a target sends unasked, so it stands in
 	// front of short messages. It has to exceed the round trip time, 18 ms between
@@ -87,8 +91,10 @@
 	// downloads holds the admitted downloads that haven't ended, in the order of their
 	// arrival.
 	downloads []*Download
-	// sizes holds the expected size of responses by route.
-	sizes map[string]float64
+	// sizes holds the expected size of responses by route, admittedAt when a download of
+	// a route was last admitted.
+	sizes      map[string]float64
+	admittedAt map[string]time.Duration
 	// before reports whether a chunk is passed before another one.
 	before func(a, b *Chunk) bool
 }
@@ -115,6 +121,8 @@
 	// limited reports that it was admitted as a long one, so that it counts towards the
 	// bound of concurrent downloads.
 	limited bool
+	// probe reports that it was admitted although it is expected to be late.
+	probe bool
 	// started reports that it was sent to a target, at startedAt.
 	started   bool
 	startedAt time.Duration
@@ -150,7 +158,10 @@
 	if capacity <= 0 || capacity >= fastLink {
 		return nil
 	}
-	s := &Share{usable: usableShare * capacity, window: int64(max(minWindow, capacity*windowTime.Seconds())), sizes: make(map[string]float64), before: dueFirst}
+	s := &Share{
+		usable: usableShare * capacity, window: int64(max(minWindow, capacity*windowTime.Seconds())), before: dueFirst,
+		sizes: make(map[string]float64), admittedAt: make(map[string]time.Duration),
+	}
 	for d := range s.paths {
 		s.paths[d].lastChunk = -time.Hour
 	}
--- a/internal/linkshare/share_test.go
+++ b/internal/linkshare/share_test.go
@@ -204,3 +204,57 @@
 		}
 	}
 }
+
+// Guards against a route that is refused for good because of an expected size that is too
+// high, while downloads of other routes always use the link: only its own responses
+// correct the size.
+func TestExpectedSizeRecoversBesideOtherRoutes(t *testing.T) {
+	s := New(testCapacity)
+	s.Observe("bundle", 90e3)
+	s.Observe("report", 2e6) // A single one; the others have 90 KB.
+	other, _ := s.Admit(0, demand(0))
+	admitted, recent := 0, 0
+	const span = 5 * time.Minute
+	for now := time.Duration(0); now < span; now += 200 * time.Millisecond {
+		s.End(other)
+		other, _ = s.Admit(now, demand(now))
+		s.StartNext(now)
+		s.Announce(now, other, 90e3)
+		q := demand(now)
+		q.Route = "report"
+		d, _ := s.Admit(now, q)
+		if d == nil {
+			continue
+		}
+		if first, refusal := s.StartNext(now); first != d || refusal != nil {
+			t.Fatalf("an admitted download doesn't start: %+v", refusal)
+		}
+		s.Announce(now, d, 90e3)
+		s.Observe("report", 90e3)
+		s.End(d)
+		if admitted++; now > span-time.Minute {
+			recent++
+		}
+	}
+	if admitted == 0 || recent < 290 {
+		t.Errorf("%d downloads were admitted, %d in the last minute, want 300", admitted, recent)
+	}
+}
+
+// Guards against probes of a route whose downloads are really too long that add up.
+func TestProbesOfLongDownloadsDoNotAddUp(t *testing.T) {
+	s := New(testCapacity)
+	s.Observe("bundle", 5e6)
+	admitted := 0
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		if d, _ := s.Admit(now, demand(now)); d != nil {
+			s.StartNext(now)
+			s.Announce(now, d, 5e6)
+			admitted++
+			s.Ask(now, d, In, 5e6) // It goes on, so that it isn't stalled.
+		}
+	}
+	if admitted != 1 {
+		t.Errorf("%d downloads that can't be in time run at once, want 1", admitted)
+	}
+}
