Don't count HEAD requests as downloads

A HEAD request of a route for downloads counted with the expected size of its GET responses: it was refused while the link owed a backlog, and the bytes that it never has counted against downloads until it ended. It is now admitted like any short request. Its response was announced without a length already.

--- a/internal/gateway/downloads.go
+++ b/internal/gateway/downloads.go
@@ -126,7 +126,7 @@
 	s.share.Count(now, linkshare.In, int64(len(a.req.Body))+messageHeadBytes)
 	d, refusal := s.share.Admit(now, linkshare.Demand{
 		Route: a.name, Objective: a.arrived + a.route.LatencyObjective, Service: service,
-		Limited: a.route.Kind == items.Download && !a.relayed,
+		Limited: a.route.Kind == items.Download && a.req.Method != http.MethodHead && !a.relayed,
 	})
 	if refusal != nil {
 		s.noteRefusal(now, a.name, refusal)
--- a/internal/gateway/downloads_test.go
+++ b/internal/gateway/downloads_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+// Guards against a HEAD request that is refused, and counts as a long response, because
+// the responses to GET requests of its route are long. It has no body.
+func TestHeadRequestsAreNoDownloads(t *testing.T) {
+	b, _ := newLinkTestbed(t, 40e3, newTarget(t, body(40e3)))
+	first := b.serve("/download/x", "1")
+	if first.Err != nil {
+		t.Fatal(first.Err)
+	}
+	defer first.Response.Close()
+	owed := b.owed()
+	for i := range 3 {
+		id := fmt.Sprint("head", i)
+		r := b.g.Serve(t.Context(), &Request{
+			ID: id, Method: "HEAD", URI: "/download/x", Path: "/download/x", Host: "h", RouteHost: "h", Header: http.Header{"X-Id": {id}}, Key: NoKey,
+		})
+		if r.Err != nil {
+			t.Fatalf("refused beside a download: %v", r.Err)
+		}
+		if got := b.owed(); got > owed {
+			t.Errorf("%d bytes are owed, %d before", got, owed)
+		}
+		r.Response.Close()
+	}
+}
+
 // Guards against a link that stays reserved for downloads that have ended: whose caller
 // leaves before or during the response, or whose target breaks off or stalls.
 func TestEndedDownloadsReleaseTheLink(t *testing.T) {
