Spread the probes of all entries at a slow holder

An entry sent its first probe as soon as the expected response time exceeded the deadline, and the next one after an interval that all entries share. Entries notice the slowness of a holder together, so 195 of them sent 195 probes within 2 s to a holder with four slots (88 of 88 as well), again after each interval of 24 s. The mean rate was within the bound of 8 per second, the bursts weren't, and the holder could answer about a tenth of a burst in time.

Each entry now draws the time of its first probe from what its interval has beyond 1 s, so that up to eight entries still probe at once. A probe that was not needed when it was due is drawn again.

Cost: the first probe of one of 195 entries comes 12 s later on average; an estimate that is a little too high ages below the deadline before. The property of recovery holds within the same time.

Failed try: to draw again only after a whole interval without need. After a pause of 30 s, 129 of 195 probes came within 2 s.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -104,7 +104,7 @@
 	if now+expected > a.deadline {
 		least := g.routeWork[a.name].Least(now)
 		if mayProbe && !g.stopping.endsBefore(a.deadline) {
-			probe = placement.Probe(now, least, a.deadline-now, entries, candidates)
+			probe = placement.Probe(now, least, a.deadline-now, entries, g.rng, candidates)
 		}
 		if probe < 0 {
 			return choice{}, errkind.New(errkind.Overloaded, "the expected response time of %v exceeds the remaining %v", expected.Round(time.Millisecond), (a.deadline - now).Round(time.Millisecond))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -114,6 +114,8 @@
 	// nextProbe is the earliest time of the next probe, probeInterval the time from
 	// that one to the next.
 	nextProbe, probeInterval time.Duration
+	// probeDrawn reports that nextProbe was drawn at random and is still to be used.
+	probeDrawn bool
 	// probeAnswered reports that the next report is that of a response to a probe.
 	probeAnswered bool
 }
--- a/internal/placement/recovery.go
+++ b/internal/placement/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
@@ -85,14 +86,14 @@
 // recovered: least is the lowest plausible service time, left the time to the deadline.
 // Of several candidates that with the lowest expected latency is probed.
 //
-// Invariant: in any time all entries together send at most probeRate probes per second to
-// a target, plus one for each entry, and each at most one in minProbeInterval and one in
+// Invariant: all entries together send on average at most probeRate probes per second to a
+// target. Each sends at most one in its ProbeInterval to a target and one in
 // serviceProbeInterval to the targets of a service.
-func Probe(now, least, left time.Duration, entries int, candidates []Candidate) int {
+func Probe(now, least, left time.Duration, entries int, rng *rand.Rand, candidates []Candidate) int {
 	best, lowest := -1, time.Duration(0)
 	for i, c := range candidates {
 		queue := math.Max(1, float64(c.Stats.InFlight+1)/float64(max(c.Slots, 1)))
-		if now < c.Stats.nextProbe || now < c.Stats.ServiceAverage.probesFrom() || time.Duration(float64(least)*queue) > left {
+		if !c.Stats.probeDue(now, entries, rng) || now < c.Stats.ServiceAverage.probesFrom() || time.Duration(float64(least)*queue) > left {
 			continue
 		}
 		if expected := c.expected(now, time.Millisecond); best < 0 || expected < lowest {
@@ -105,9 +106,23 @@
 	return best
 }
 
+// probeDue reports whether the target may be probed. Many entries notice the slowness of a
+// holder at the same time, so each draws the time of its first probe from the interval. A
+// probe that was not needed when it was due is drawn again, since the times of other
+// entries passed as well.
+func (t *TargetStats) probeDue(now time.Duration, entries int, rng *rand.Rand) bool {
+	interval := ProbeInterval(entries)
+	if needed := t.probeInterval > 0 && now < t.nextProbe+ageGrace; !t.probeDrawn && !needed {
+		t.probeDrawn = true
+		t.nextProbe = now + time.Duration(rng.Float64()*float64(interval-minProbeInterval))
+	}
+	return now >= t.nextProbe
+}
+
 // probed schedules the next probe.
 func (t *TargetStats) probed(now time.Duration, entries int) {
 	first := ProbeInterval(entries)
+	t.probeDrawn = false
 	if t.probeInterval < first {
 		t.probeInterval = first
 	}
