--- a/internal/registry/owner_test.go
+++ b/internal/registry/owner_test.go
@@ -59,8 +59,21 @@
 	targets   []*simTarget
 	calls     []call
 	responses []response
+	// routes counts the changes of the route, which allows another region each time.
+	routes uint64
+	// fences holds the highest fence and its holder for some keys.
+	fences map[int]fenceOf
 }
 
+// fenceOf is the highest fence with which a target held a key.
+type fenceOf struct {
+	fence  uint64
+	holder fleet.Incarnation
+}
+
+// sampledKeys is the distance of the keys whose fences are checked.
+const sampledKeys = 512
+
 const (
 	simTargets           = 5
 	simLength            = 60 * time.Second
@@ -70,7 +83,7 @@
 	simTimeout = time.Second
 )
 
-var simDeployment = Deployment{HeartbeatInterval: simHeartbeatInterval, Regions: map[string]string{"d": "r"}}
+var simDeployment = Deployment{HeartbeatInterval: simHeartbeatInterval, Regions: map[string]string{"d": "r", "d2": "r2"}}
 
 func (sim *simulation) chance(p float64) bool { return sim.rng.Float64() < p }
 
@@ -99,6 +112,33 @@
 	sim.injectFaults()
 	sim.sendOddHeartbeat()
 	sim.checkOwners()
+	sim.checkFences()
+}
+
+// dataCentreOf returns the data centre of a target, one of two regions if routes change.
+func (sim *simulation) dataCentreOf(id string) string {
+	if sim.routes > 0 && id > "2" {
+		return "d2"
+	}
+	return "d"
+}
+
+// checkFences fails the test if a target holds a key with a fence that is not above that of
+// an earlier holder.
+func (sim *simulation) checkFences() {
+	for _, h := range sim.targets {
+		for _, r := range h.rows {
+			for key := (r.From + sampledKeys - 1) / sampledKeys * sampledKeys; key <= r.To; key += sampledKeys {
+				known := sim.fences[key]
+				if known.holder != h.in && r.Fence <= known.fence {
+					sim.t.Fatalf("seed %d at %v: %v holds key %d with fence %d after %v with %d", sim.seed, sim.now, h.in, key, r.Fence, known.holder, known.fence)
+				}
+				if r.Fence > known.fence {
+					sim.fences[key] = fenceOf{r.Fence, h.in}
+				}
+			}
+		}
+	}
 }
 
 func (sim *simulation) sendHeartbeat(h *simTarget) {
@@ -108,7 +148,7 @@
 		return // the message is lost
 	}
 	b := heartbeatOf(h.in.ID, h.seq)
-	b.Target.StartMs = h.in.StartMs
+	b.Target.StartMs, b.Target.DataCentre = h.in.StartMs, sim.dataCentreOf(h.in.ID)
 	if h.draining {
 		b.Target.Condition = fleet.Draining
 	}
@@ -206,6 +246,11 @@
 	if sim.chance(0.002) {
 		sim.targets[sim.rng.IntN(len(sim.targets))].draining = true
 	}
+	if sim.routes > 0 && sim.others.Float64() < 0.003 {
+		sim.routes++
+		regions := [][]string{{"r"}, {"r2"}, nil}[sim.others.IntN(3)]
+		sim.leader.commit(routeCommand("a", sim.routes, regions...))
+	}
 	if sim.chance(0.05) {
 		hot := sim.rng.IntN(fleet.MaxKey)
 		s := Samples{Service: "s"}
@@ -224,7 +269,7 @@
 	}
 	h := sim.targets[sim.others.IntN(len(sim.targets))]
 	b := heartbeatOf(h.in.ID, h.seq+sim.others.Int64N(3))
-	b.Target.StartMs = h.in.StartMs
+	b.Target.StartMs, b.Target.DataCentre = h.in.StartMs, sim.dataCentreOf(h.in.ID)
 	switch sim.others.IntN(5) {
 	case 0:
 		b.Target.ID, b.Target.StartMs, b.Target.Service = "other", h.in.StartMs+9, "unknown"
@@ -268,11 +313,12 @@
 	return 100
 }
 
-// Guards against two owners of a key with lost, delayed and reordered messages, leader
-// changes, restarts, drains and moves.
+// Guards against two owners of a key, and against a fence that an earlier owner had, with
+// lost, delayed and reordered messages, leader changes, restarts, drains, moves, merged rows
+// and changes of the allowed regions.
 func TestNeverTwoOwners(t *testing.T) {
 	for seed := range simSeeds() {
-		sim := &simulation{t: t, seed: seed, rng: rand.New(rand.NewPCG(uint64(seed), 7)), others: rand.New(rand.NewPCG(uint64(seed), 8)), leader: newLeader(t)}
+		sim := &simulation{t: t, seed: seed, rng: rand.New(rand.NewPCG(uint64(seed), 7)), others: rand.New(rand.NewPCG(uint64(seed), 8)), leader: newLeader(t), fences: make(map[int]fenceOf)}
 		sim.leader.reg.deployment = simDeployment
 		for i := range simTargets {
 			sim.targets = append(sim.targets, &simTarget{in: fleet.Incarnation{ID: fmt.Sprint(i), StartMs: 1}, clockStretch: 1 + 0.02*sim.rng.Float64()})
@@ -283,6 +329,9 @@
 		if seed%4 < 2 {
 			sim.leader.reg.maxRows = 6 // Rows are merged all the time.
 		}
+		if seed%3 == 0 {
+			sim.routes = 1 // Targets are in two regions, and the route changes.
+		}
 		held := 0
 		for sim.now < simLength {
 			sim.step()
