Recognise the release of a merged row in parts

A row counted as released only if one release covered it. A holder that has not learned that two of its rows were merged releases them one by one, so that the merged row waited until its grant had expired: up to 4.1 s without service for its keys. That happens if the row moves within the heartbeat interval after the merge, as when a service shrinks or its allowed regions change. Releases of one heartbeat now count together. Handover data is passed on if it is the same for all, as in a merge.

Ruled out: to collect releases over several heartbeats. An earlier one may be outdated by a grant in between.

--- a/internal/registry/regions_test.go
+++ b/internal/registry/regions_test.go
@@ -163,3 +163,34 @@
 		t.Errorf("%d of %d keys are back in the allowed region", got, fleet.MaxKey+1)
 	}
 }
+
+// Guards against a merged row that moves before its holder has learned that it was merged,
+// and whose requests then wait until the grant expires: the holder releases the parts.
+func TestMergedRowIsReleasedInParts(t *testing.T) {
+	for name, c := range map[string]struct {
+		released []Released
+		counts   bool
+	}{
+		"all parts":        {[]Released{{From: 0, To: 9999, Handover: "a"}, {From: 10000, To: 32767, Handover: "b"}}, true},
+		"in another order": {[]Released{{From: 10000, To: 40000}, {From: 0, To: 12000}}, true},
+		"a gap":            {[]Released{{From: 0, To: 9998}, {From: 10000, To: 32767}}, false},
+		"the first part":   {[]Released{{From: 0, To: 9999}}, false},
+	} {
+		l := leaderWithTwoHolders(t)
+		now := 2 * time.Second
+		known, _ := l.state.Target("1")
+		known.Condition = fleet.Leaving
+		l.heartbeat(now, Heartbeat{Target: known})
+		l.plan(now)
+		if row := l.rows()[0]; !row.Moving() || row.To != 32767 {
+			t.Fatalf("%s: row is %+v, want the first half on the move", name, row)
+		}
+		b := heartbeatOf("1", 3)
+		b.Target.Condition, b.Released = fleet.Leaving, c.released
+		l.heartbeat(now, b)
+		l.plan(now + time.Second)
+		if moved := l.rows()[0].Holder.ID == "2"; moved != c.counts {
+			t.Errorf("%s: the row has moved: %t, want %t", name, moved, c.counts)
+		}
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,6 +8,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -260,14 +261,35 @@
 		if row.Holder != b.Target.Incarnation || !row.Moving() {
 			continue
 		}
-		for _, rel := range b.Released {
-			if rel.From <= row.From && rel.To >= row.To {
-				r.released[rowIDOf(shard.Service, row)] = rel.Handover
-			}
+		if handover, ok := releasedIn(b.Released, row); ok {
+			r.released[rowIDOf(shard.Service, row)] = handover
 		}
 	}
 }
 
+// releasedIn reports whether releases of one heartbeat cover a row, and returns their
+// handover data; "" if they differ. A holder that has not learned that its rows were merged
+// releases the parts.
+func releasedIn(releases []Released, row fleet.Row) (handover string, ok bool) {
+	ordered := slices.SortedFunc(slices.Values(releases), func(a, b Released) int { return cmp.Compare(a.From, b.From) })
+	next, first := row.From, true
+	for _, rel := range ordered {
+		if rel.To < next || next > row.To {
+			continue
+		}
+		if rel.From > next {
+			return "", false
+		}
+		if first {
+			handover, first = rel.Handover, false
+		} else if rel.Handover != handover {
+			handover = ""
+		}
+		next = rel.To + 1
+	}
+	return handover, next > row.To
+}
+
 // targetUpdate returns the command that records a changed target, and whether one is
 // needed. known is the target in the replicated state, if ok.
 func (r *Registry) targetUpdate(now time.Duration, l *liveness, known fleet.Target, ok bool, t fleet.Target) (fleet.Command, bool) {
