--- a/internal/linkshare/share.go
+++ b/internal/linkshare/share.go
@@ -66,6 +66,10 @@
 	// at 2.5 times the load; with any number, the share was lower and short messages
 	// waited longer.
 	pipelineDownloads = 4
+	// probeInterval is the time without an admitted download of a route after which one is
+	// admitted although it is expected to be late. It exceeds the time in which a backlog
+	// drains, the longest latency objective of 3 s.
+	probeInterval = 5 * time.Second
 	// windowTime is the time in which the link carries the receive window of a
 	// connection to a target. The window is what a target sends unasked, so it stands in
 	// front of short messages. It has to exceed the round trip time, 18 ms between
@@ -87,8 +91,10 @@
 	// downloads holds the admitted downloads that haven't ended, in the order of their
 	// arrival.
 	downloads []*Download
-	// sizes holds the expected size of responses by route.
-	sizes map[string]float64
+	// sizes holds the expected size of responses by route, admittedAt when a download of
+	// a route was last admitted.
+	sizes      map[string]float64
+	admittedAt map[string]time.Duration
 	// before reports whether a chunk is passed before another one.
 	before func(a, b *Chunk) bool
 }
@@ -115,6 +121,8 @@
 	// limited reports that it was admitted as a long one, so that it counts towards the
 	// bound of concurrent downloads.
 	limited bool
+	// probe reports that it was admitted although it is expected to be late.
+	probe bool
 	// started reports that it was sent to a target, at startedAt.
 	started   bool
 	startedAt time.Duration
@@ -140,6 +148,8 @@
 	Bytes     int
 	Download  *Download
 	since     time.Duration
+	// due is when the download should be complete, as of since.
+	due time.Duration
 }
 
 // New returns the share of a link with a capacity in bytes per second, or nil if the link
@@ -148,23 +158,43 @@
 	if capacity <= 0 || capacity >= fastLink {
 		return nil
 	}
-	s := &Share{usable: usableShare * capacity, window: int64(max(minWindow, capacity*windowTime.Seconds())), sizes: make(map[string]float64), before: dueFirst}
+	s := &Share{
+		usable: usableShare * capacity, window: int64(max(minWindow, capacity*windowTime.Seconds())), before: dueFirst,
+		sizes: make(map[string]float64), admittedAt: make(map[string]time.Duration),
+	}
 	for d := range s.paths {
 		s.paths[d].lastChunk = -time.Hour
 	}
 	return s
 }
 
-// dueFirst orders chunks by the latency objectives of their downloads. With the sum of
-// all bytes as the condition of admission, this order keeps what was promised at each
-// admission; chunks of one download keep their order.
+// dueFirst orders chunks by the times at which their downloads are due. With the sum of
+// the bytes that are due before as the condition of admission, this order keeps what was
+// promised at each admission; chunks of one download keep their order.
 func dueFirst(a, b *Chunk) bool {
-	if a.Download.objective != b.Download.objective {
-		return a.Download.objective < b.Download.objective
+	if a.due != b.due {
+		return a.due < b.due
 	}
 	return a.since < b.since
 }
 
+// due returns when a download should be complete: at its latency objective, or when the
+// link alone would have carried the rest if that is later. So a response that is late in
+// any case, such as one of many megabytes, gives way to those that can be in time, and is
+// completed soon once little is left.
+func (s *Share) due(now time.Duration, d *Download) time.Duration {
+	return max(d.objective, now+s.time(d.rest()))
+}
+
+// rest returns the number of bytes that still have to pass the link in the busier
+// direction. Of a response without a length, as many as have passed are expected.
+func (d *Download) rest() int64 {
+	if d.bulk && !d.announced {
+		return d.passed
+	}
+	return max(d.left[In], d.left[Out])
+}
+
 // Count records bytes that pass the link at once: those of short messages.
 func (s *Share) Count(now time.Duration, dir Direction, bytes int64) {
 	p := &s.paths[dir]
@@ -211,7 +241,7 @@
 		s.Count(now, dir, int64(n))
 		return nil
 	}
-	c := &Chunk{Ready: make(chan struct{}), Direction: dir, Bytes: min(n, chunkBytes), Download: d, since: now}
+	c := &Chunk{Ready: make(chan struct{}), Direction: dir, Bytes: min(n, chunkBytes), Download: d, since: now, due: s.due(now, d)}
 	d.asking++
 	s.paths[dir].chunks = append(s.paths[dir].chunks, c)
 	return c
--- a/internal/linkshare/share_test.go
+++ b/internal/linkshare/share_test.go
@@ -148,3 +148,113 @@
 		}
 	}
 }
+
+// Guards against one very long response that takes the whole link until its end, minutes
+// later, because it was due before the downloads that arrive during it.
+func TestVeryLongResponsesGiveWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		announced int64
+		count     int
+		lead      time.Duration
+	}{"known length": {60e6, 2 * pipelineDownloads, time.Second}, "unknown length": {-1, 1, 4 * time.Second}} {
+		s := New(testCapacity)
+		s.Observe("bundle", 90e3)
+		var huge []*Download
+		for range c.count {
+			d, _ := s.Admit(0, Demand{Route: "export", Objective: 800 * time.Millisecond})
+			s.Announce(0, d, c.announced)
+			huge = append(huge, d)
+		}
+		pass := func(now time.Duration, d *Download, n int) (passed int) {
+			for _, d := range huge {
+				if d.asking == 0 && s.Ask(now, d, In, 1<<20) != nil {
+					s.Track(d)
+				}
+			}
+			if d != nil && d.asking == 0 && n > 0 {
+				s.Ask(now, d, In, n)
+			}
+			for c, _ := s.Next(now, In); c != nil; c, _ = s.Next(now, In) {
+				if c.Download == d {
+					passed += c.Bytes
+				}
+			}
+			return passed
+		}
+		now := time.Duration(0)
+		for ; now < c.lead; now += 5 * time.Millisecond {
+			pass(now, nil, 0)
+		}
+		d, refusal := s.Admit(now, demand(now))
+		if refusal != nil {
+			t.Errorf("%s: refused beside longer ones that are late in any case: %+v", name, refusal)
+			continue
+		}
+		if first, _ := s.StartNext(now); first != d {
+			t.Errorf("%s: longer ones take all places", name)
+			continue
+		}
+		s.Announce(now, d, 90e3)
+		began, left := now, 90_000
+		for ; left > 0 && now < began+3*time.Second; now += 5 * time.Millisecond {
+			left -= pass(now, d, left)
+		}
+		if took := now - began; took > 500*time.Millisecond {
+			t.Errorf("%s: 90 KB took %v beside longer ones, %d bytes are left", name, took, left)
+		}
+	}
+}
+
+// Guards against a route that is refused for good because of an expected size that is too
+// high, while downloads of other routes always use the link: only its own responses
+// correct the size.
+func TestExpectedSizeRecoversBesideOtherRoutes(t *testing.T) {
+	s := New(testCapacity)
+	s.Observe("bundle", 90e3)
+	s.Observe("report", 2e6) // A single one; the others have 90 KB.
+	other, _ := s.Admit(0, demand(0))
+	admitted, recent := 0, 0
+	const span = 5 * time.Minute
+	for now := time.Duration(0); now < span; now += 200 * time.Millisecond {
+		s.End(other)
+		other, _ = s.Admit(now, demand(now))
+		s.StartNext(now)
+		s.Announce(now, other, 90e3)
+		q := demand(now)
+		q.Route = "report"
+		d, _ := s.Admit(now, q)
+		if d == nil {
+			continue
+		}
+		if first, refusal := s.StartNext(now); first != d || refusal != nil {
+			t.Fatalf("an admitted download doesn't start: %+v", refusal)
+		}
+		s.Announce(now, d, 90e3)
+		s.Observe("report", 90e3)
+		s.End(d)
+		if admitted++; now > span-time.Minute {
+			recent++
+		}
+	}
+	if admitted == 0 || recent < 290 {
+		t.Errorf("%d downloads were admitted, %d in the last minute, want 300", admitted, recent)
+	}
+}
+
+// Guards against probes of a route whose downloads are really too long that add up.
+func TestProbesOfLongDownloadsDoNotAddUp(t *testing.T) {
+	s := New(testCapacity)
+	s.Observe("bundle", 5e6)
+	admitted := 0
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		if d, _ := s.Admit(now, demand(now)); d != nil {
+			s.StartNext(now)
+			s.Announce(now, d, 5e6)
+			admitted++
+			s.Ask(now, d, In, 5e6) // It goes on, so that it isn't stalled.
+		}
+	}
+	if admitted != 1 {
+		t.Errorf("%d downloads that can't be in time run at once, want 1", admitted)
+	}
+}
