Make TestResponseIsOpenUntilItIsSent deterministic

The test polled the open requests from another goroutine without any delay of the connection, so that the whole response could be sent between two polls.

Writes now take 10 ms of virtual time, and the state is read while all goroutines wait: the request must be open during all writes of the response but the last one, of which the connection already has the bytes. Before, one poll that saw it open was enough.

1,000 of 1,000 runs pass without and 200 of 200 with the race detector. With openRequests changed to skip streams whose response is queued, it fails. A first try with a plain bool for "the handler has returned" was a data race in the test. Removing the stream when its response is queued instead made the call hang and shows nothing.

--- a/internal/link/call_test.go
+++ b/internal/link/call_test.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"runtime"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -167,9 +168,15 @@
 // response that takes long counts as open until it is sent.
 func TestResponseIsOpenUntilItIsSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		const writeTime = 10 * time.Millisecond
 		n := newNetwork()
+		n.delay = func() time.Duration { return writeTime }
 		response := make([]byte, 1<<20)
-		a, b := n.pair(map[string]Handler{"long": func(context.Context, string, []byte) ([]byte, error) { return response, nil }})
+		var returned atomic.Bool
+		a, b := n.pair(map[string]Handler{"long": func(context.Context, string, []byte) ([]byte, error) {
+			returned.Store(true)
+			return response, nil
+		}})
 		if b.OpenRequests() != 0 {
 			t.Error("a request is open before the first call")
 		}
@@ -178,14 +185,22 @@
 			_, err := a.Call(t.Context(), "b", "long", nil)
 			done <- err
 		}()
-		open := false
-		for len(done) == 0 {
-			open = open || b.OpenRequests() == 1
-			runtime.Gosched()
+		// Between two writes all goroutines wait, so the state doesn't depend on how
+		// they are scheduled.
+		var open []int
+		for ; len(done) == 0; time.Sleep(writeTime) {
+			synctest.Wait()
+			if returned.Load() && len(done) == 0 {
+				open = append(open, b.OpenRequests())
+			}
 		}
-		synctest.Wait()
-		if err := <-done; err != nil || !open || b.OpenRequests() != 0 {
-			t.Errorf("got %v, open during the call: %v, %d open after it", err, open, b.OpenRequests())
+		if err := <-done; err != nil || b.OpenRequests() != 0 {
+			t.Errorf("got %v, %d open after the call", err, b.OpenRequests())
+		}
+		// The last write takes a part that the connection already has.
+		const parts = 1 << 20 / batchSize
+		if len(open) < parts || slices.Contains(open[:parts-1], 0) {
+			t.Errorf("open requests while the response was sent: %v, want 1 for the first %d writes", open, parts-1)
 		}
 		_, _ = a.Close(), b.Close()
 	})
