Free the buffer of a long head when the next one is awaited

headReader.resize moves the content of a buffer through the field unread. An empty slice of it remained and kept the previous buffer, up to the head limit of 1 MB, in memory while the connection was idle. No bound counts it: the memory of a head is subtracted when its connection becomes idle. While a head arrives, half of its size was held again for the same reason.

The field is now nil once it is empty. Parsed requests were ruled out: net/textproto copies all strings.

--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -40,7 +40,9 @@
 func (h *headReader) Read(p []byte) (int, error) {
 	if len(h.unread) > 0 {
 		n := copy(p, h.unread)
-		h.unread = h.unread[n:]
+		if h.unread = h.unread[n:]; len(h.unread) == 0 {
+			h.unread = nil // an empty slice would keep the previous buffer in memory
+		}
 		return n, nil
 	}
 	if h.inHead && len(p) > readBufferBytes {
@@ -53,7 +55,9 @@
 func (h *headReader) resize(size int) {
 	// unread is empty here: all of it was moved into the previous buffer.
 	buffered := h.buf.Buffered()
-	h.unread, _ = h.buf.Peek(buffered)
+	if buffered > 0 {
+		h.unread, _ = h.buf.Peek(buffered)
+	}
 	h.buf = bufio.NewReaderSize(h, size)
 	_, _ = h.buf.Peek(buffered)
 }
