Read long heads only when no request of their connection is in progress

Connections counts the bytes of a head only until its request is served, and the server reads further heads meanwhile. ReadAheadBytes says that the server has to bound these itself, but it only kept each below the limit, 1 MB by default: behind one slow request, each connection could hold a head of 1 MB that nothing counts, and each of its up to eight requests could have one. When the request was complete, the part of the next head that had been read counted as 0 bytes.

A head that exceeds the usual size (head.memory is positive: about 1 KiB in 25 lines) is now read on, parsed and run only when its connection has no request in progress; Connections then counts all of it. Shorter heads are within the memory planned for a connection or a slot. A caller with longer heads is served sequentially, as before pipelining; no request is refused.

Weighed: counting all heads in progress on a connection. That needs a global wait before a head is parsed, and many connections could still pass it at the same moment.

--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -75,14 +76,16 @@
 
 // read returns the next request, a *refusal for one that must be refused, or the error
 // of the connection. limit returns the maximum size of a head. Before it waits for more
-// of a head, it calls waiting with whether a part of it was received.
-func (h *headReader) read(limit func() int64, waiting func(partial bool)) (*http.Request, error) {
+// of a head, it calls waiting with the part that was received, and before it holds or
+// parses one that exceeds the usual size, mayHold, which returns false if the connection
+// has ended.
+func (h *headReader) read(limit func() int64, waiting func(part head), mayHold func(part head) bool) (*http.Request, error) {
 	h.inHead = true
 	defer func() { h.inHead = false }()
 	if h.buf.Size() > readBufferBytes && h.buf.Buffered() <= readBufferBytes {
 		h.resize(readBufferBytes)
 	}
-	head, err := h.awaitHead(limit, waiting)
+	head, err := h.awaitHead(limit, waiting, mayHold)
 	if err != nil {
 		return nil, err
 	}
@@ -105,18 +108,28 @@
 }
 
 // awaitHead reads until the buffer holds a whole head, which it returns.
-func (h *headReader) awaitHead(limit func() int64, waiting func(partial bool)) ([]byte, error) {
-	seen, lineChecked := 0, false
+func (h *headReader) awaitHead(limit func() int64, waiting func(part head), mayHold func(part head) bool) ([]byte, error) {
+	var part head
+	lineChecked := false
 	for {
 		h.skipBlanks()
 		data, _ := h.buf.Peek(h.buf.Buffered())
+		seen := int(part.bytes)
 		end := headEnd(data, max(0, seen-3))
 		if int64(end) > limit() || end == 0 && int64(len(data)) > limit() {
 			return nil, &refusal{http.StatusRequestHeaderFieldsTooLarge, ""}
 		}
+		if end > 0 {
+			data = data[:end]
+		}
+		part.lines += int64(bytes.Count(data[seen:], []byte{'\n'}))
+		part.bytes = int64(len(data))
+		if part.memory() > 0 && !mayHold(part) {
+			return nil, io.EOF
+		}
 		if end > 0 {
 			h.blanks = 0
-			return data[:end], nil
+			return data, nil
 		}
 		if line := bytes.IndexByte(data, '\n'); line >= 0 && !lineChecked {
 			// A malformed request line is refused before the rest of the head arrives.
@@ -125,12 +138,11 @@
 				return nil, parseError(err)
 			}
 		}
-		seen = len(data)
-		if seen == h.buf.Size() {
-			h.resize(min(2*seen, int(limit())+1))
+		if len(data) == h.buf.Size() {
+			h.resize(min(2*len(data), int(limit())+1))
 		}
-		waiting(seen > 0)
-		if _, err := h.buf.Peek(seen + 1); err != nil {
+		waiting(part)
+		if _, err := h.buf.Peek(len(data) + 1); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/callers/head_limit.go
+++ b/internal/callers/head_limit.go
@@ -37,11 +37,12 @@
 
 // startReading records that a part of the head of the next request was received before
 // the connection became idle.
-func (c *Connections) startReading(conn net.Conn) {
+func (c *Connections) startReading(conn net.Conn, part head) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if tracked := c.conns[conn]; tracked != nil && tracked.phase == idle {
 		c.enter(tracked, reading, time.Now())
+		c.roster.setHead(tracked, part)
 	}
 }
 
--- a/internal/callers/pipeline.go
+++ b/internal/callers/pipeline.go
@@ -39,9 +39,10 @@
 	// the phase of the connection in Connections is serving while the queue is not
 	// empty.
 	queue []*exchange
-	// served is true once a request was read, and partial while a part of the next head
-	// was received.
-	served, partial bool
+	// served is true once a request was read.
+	served bool
+	// partial is the part of the next head that was received.
+	partial head
 	// closer is the request after whose response the connection closes. No later one
 	// is started.
 	closer *exchange
@@ -63,7 +64,7 @@
 func (c *conn) serve() {
 	defer c.finish()
 	for c.awaitCapacity() {
-		req, err := c.head.read(func() int64 { return c.server.cfg.Limits().HeadBytes }, c.markPartial)
+		req, err := c.head.read(func() int64 { return c.server.cfg.Limits().HeadBytes }, c.markPartial, c.mayHold)
 		refused := asRefusal(err)
 		if err != nil && refused == nil {
 			c.disconnected(err)
@@ -109,7 +110,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.partial = false
+	c.partial = head{}
 	if c.over || c.closer != nil || !c.server.cfg.Connections.BeginRequest(c.ctx) {
 		c.server.metrics.dropped.Inc()
 		e.cancel()
@@ -124,17 +125,25 @@
 	return e
 }
 
-// markPartial records whether a part of a head was received. The time limit of a head
+// markPartial records which part of a head was received. The time limit of a head
 // that was begun behind running requests starts when their responses are complete.
-func (c *conn) markPartial(partial bool) {
+func (c *conn) markPartial(part head) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.partial = partial
-	if partial && len(c.queue) == 0 && !c.over {
-		c.server.cfg.Connections.startReading(c.rwc)
+	c.partial = part
+	if part.bytes > 0 && len(c.queue) == 0 && !c.over {
+		c.server.cfg.Connections.startReading(c.rwc, part)
 	}
 }
 
+// mayHold waits until a head that exceeds the usual size may be held and parsed: behind
+// running requests, its memory wouldn't count towards the bound. It returns false if the
+// connection ends before.
+func (c *conn) mayHold(part head) bool {
+	c.markPartial(part)
+	return c.await(func() bool { return len(c.queue) == 0 })
+}
+
 // pollInterval is the interval at which the reader looks whether the caller has left
 // while it doesn't read.
 const pollInterval = 200 * time.Millisecond
@@ -277,8 +286,8 @@
 	default:
 		c.queue = nil
 		c.server.cfg.Connections.ConnState(c.rwc, http.StateIdle)
-		if c.partial {
-			c.server.cfg.Connections.startReading(c.rwc)
+		if c.partial.bytes > 0 {
+			c.server.cfg.Connections.startReading(c.rwc, c.partial)
 		}
 	}
 	if closes {
--- a/internal/callers/pipeline_test.go
+++ b/internal/callers/pipeline_test.go
@@ -431,7 +431,7 @@
 	partial := func(c *conn) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.partial
+		return c.partial.bytes > 0
 	}
 	for end := time.Now().Add(eventTime); !slices.ContainsFunc(s.openConns(), partial); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
