Keep connections with a begun request open during a planned stop

SetKeepAlivesEnabled(false) and Shutdown closed every connection without a request in progress that had served one before or was older than 5 s, also if a part of the next head, or all of it just before it was queued, had been read. The same happened when a response that didn't announce the close ended while a part of the next head had been read behind it. The caller got the end of the connection instead of a response, although requests that arrive until the listener closes are to be answered; an entry without processor time reads heads in parts more often.

A connection is now closed as idle only if Connections, which notes received bytes before the reader does, knows of none. A head that never ends is still refused after the head time limit, or ends with the stop's own limit.

Not changed: a whole request that is read in one piece in the instant in which such a response ends is still dropped; net/http does the same.

--- a/internal/callers/connection_limit.go
+++ b/internal/callers/connection_limit.go
@@ -41,6 +41,18 @@
 	}
 }
 
+// forgetIdle stops tracking a connection and reports true, unless a part of a request
+// was received on it. No request of the connection may be served.
+func (c *Connections) forgetIdle(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if tracked := c.conns[conn]; tracked != nil && tracked.phase == reading && tracked.head.bytes > 0 {
+		return false
+	}
+	c.forget(conn)
+	return true
+}
+
 // removeExcess stops tracking the connections beyond the bound and returns them.
 // BeginRequest refuses their requests from then on.
 func (c *Connections) removeExcess(newest *connection) (closed []*connection) {
--- a/internal/callers/pipeline.go
+++ b/internal/callers/pipeline.go
@@ -278,7 +278,7 @@
 func (c *conn) complete(e *exchange) {
 	c.mu.Lock()
 	c.queue = c.queue[1:]
-	closes := c.closer == e || len(c.queue) == 0 && c.server.draining.Load()
+	closes := c.closer == e || len(c.queue) == 0 && c.partial.bytes == 0 && c.server.draining.Load()
 	switch {
 	case closes:
 	case len(c.queue) > 0:
@@ -360,12 +360,13 @@
 	}
 }
 
-// closeIfIdle closes the connection unless a request is in progress, or the first one
-// may be in transit.
+// closeIfIdle closes the connection unless a request is in progress, a part of one was
+// read, or the first one may be in transit.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) == 0 && (c.served || time.Since(c.created) > firstRequestTime) {
+	mayClose := len(c.queue) == 0 && (c.served || time.Since(c.created) > firstRequestTime)
+	if mayClose && c.server.cfg.Connections.forgetIdle(c.rwc) {
 		c.endLocked()
 	}
 }
