Count connections that are being closed towards the bound

After a response that closes, the server waits up to 500 ms for the caller to close its end, but Connections forgot the connection before. A caller that sends malformed requests on new connections and reads nothing could hold connections and descriptors beyond the bound this way, as many as are accepted in 500 ms.

These connections now count as idle until they are closed, so the bound closes them before it turns a new caller away. They don't count as active for a planned stop; so that its quiet time isn't counted anew when the caller closes, the end of an idle connection no longer sets idleSince.

Before, the new test sees 1 open connection of which 0 count.

--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -123,8 +123,11 @@
 		}
 		c.idleSince = now
 	default:
+		// The end of an idle connection doesn't mean that a caller was active.
+		if tracked := c.conns[conn]; tracked != nil && tracked.phase != idle {
+			c.idleSince = now
+		}
 		c.forget(conn)
-		c.idleSince = now
 	}
 }
 
--- a/internal/callers/pipeline.go
+++ b/internal/callers/pipeline.go
@@ -394,11 +394,12 @@
 		c.await(func() bool { return len(c.queue) == 0 })
 	}
 	c.end()
-	c.server.cfg.Connections.ConnState(c.rwc, http.StateClosed)
 	if c.linger.Load() {
+		c.server.cfg.Connections.ConnState(c.rwc, http.StateIdle)
 		c.awaitClose()
 	}
 	_ = c.rwc.Close()
+	c.server.cfg.Connections.ConnState(c.rwc, http.StateClosed)
 	c.running.Wait()
 	c.server.remove(c)
 }
--- a/internal/callers/stop_test.go
+++ b/internal/callers/stop_test.go
@@ -67,3 +67,33 @@
 		})
 	}
 }
+
+// Guards against connections that don't count towards the bound while the server waits
+// for their callers to close them, and against a planned stop that waits for these.
+func TestClosingConnectionsCountTowardsTheBound(t *testing.T) {
+	conns := NewConnections()
+	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) {}, func(cfg *ServerConfig) { cfg.Connections = conns })
+	c, r := connect(t, addr)
+	send(t, c, "malformed\r\n\r\n")
+	if resp := expect(t, r, "400 Bad Request"); resp.StatusCode != http.StatusBadRequest {
+		t.Fatalf("got %d", resp.StatusCode)
+	}
+	expectEnd(t, r) // the server has closed its direction only
+	conns.mu.Lock()
+	counted := conns.roster.count
+	conns.mu.Unlock()
+	if open := len(s.openConns()); counted != open || open != 1 {
+		t.Errorf("%d connections count, %d are open, want 1", counted, open)
+	}
+	quiet := conns.IdleFor()
+	_ = c.Close()
+	awaitNoConns(t, s)
+	if quiet == 0 || conns.IdleFor() < quiet {
+		t.Errorf("idle for %v while the caller closes, %v afterwards", quiet, conns.IdleFor())
+	}
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	if conns.roster.count != 0 {
+		t.Errorf("%d connections count after all have ended", conns.roster.count)
+	}
+}
