Test voters and successors that end together or one after the other

Two scenarios in virtual time, 20 seeds each: a voter and the learner standing by end together, and a successor ends after it took the vote of a voter that came back, beside a lost disk.

--- a/internal/controller/refusal_test.go
+++ b/internal/controller/refusal_test.go
@@ -144,3 +144,74 @@
 		t.Errorf("%s\n%s", violation, trace)
 	}
 }
+
+// Guards against a vote that goes without a successor when a voter and the learner standing
+// by end together and are started again: changes would be refused meanwhile.
+func TestVoterAndSuccessorMayEndTogether(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newMembershipSim(t, seed)
+		s.add(s.vms[0])
+		s.run(2 * simCatchUp)
+		leader := s.leader()
+		if leader == nil || len(leader.node.Membership().Voters) != 2*simTolerated+1 {
+			t.Fatalf("seed %d: no leader with all voters\n%s", seed, s.trace.String())
+		}
+		var ended []*simVM
+		for _, vm := range s.vms {
+			voter := leader.node.Membership().IsVoter(vm.replicaID)
+			if vm != leader && (!voter || len(ended) == 0) {
+				ended = append(ended, vm)
+			}
+		}
+		for _, vm := range ended {
+			s.kill(vm, false)
+		}
+		for range 20 {
+			s.run(20 * time.Millisecond)
+			if got := len(leader.node.Membership().Voters); got < 2*simTolerated+1 {
+				t.Fatalf("seed %d: %d voters\n%s", seed, got, s.trace.String())
+			}
+		}
+		for _, vm := range ended {
+			s.start(vm)
+		}
+		s.run(time.Second)
+		if got := len(leader.node.CommittedMembership().Voters); got != 2*simTolerated+1 {
+			t.Errorf("seed %d: %d voters afterwards\n%s", seed, got, s.trace.String())
+		}
+	}
+}
+
+// Guards against the loss of control when a successor ends right after it took the vote of an
+// ended voter, and another voter loses its disk: two losses beside the voter that came back.
+func TestSuccessorMayEndAfterTheExchange(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newMembershipSim(t, seed)
+		successor := s.add(s.vms[0])
+		s.run(2 * simCatchUp)
+		leader := s.leader()
+		voters := slices.DeleteFunc(slices.Clone(s.vms), func(vm *simVM) bool { return vm == leader || vm == successor })
+		s.kill(voters[0], false)
+		s.run(600 * time.Millisecond)
+		if m := leader.node.CommittedMembership(); !m.IsVoter(successor.replicaID) || len(m.Voters) != 2*simTolerated+1 {
+			t.Fatalf("seed %d: the successor has no vote\n%s", seed, s.trace.String())
+		}
+		s.start(voters[0])
+		s.run(simCatchUp)
+		s.kill(successor, false)
+		s.kill(voters[1], true)
+		s.start(voters[1])
+		s.run(10 * time.Second)
+		acked := len(s.acked)
+		s.run(2 * time.Second)
+		if leader := s.leader(); leader == nil || len(s.acked) == acked {
+			t.Errorf("seed %d: no change is acknowledged any more\n%s", seed, s.trace.String())
+			continue
+		}
+		for _, command := range s.acked[:acked] {
+			if !s.leader().acked[command] {
+				t.Errorf("seed %d: the acknowledged %s is missing", seed, command)
+			}
+		}
+	}
+}
