Add slow start as a decision of placement

Cause: after its cold time, after a health check and after a slowdown a target gets what optimistic or outdated estimates give it at once.

Ruled out: a limit of requests in flight for each entry, since 195 entries with one request each flood six slots.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -279,6 +279,8 @@
 	// that new targets get work. It has no effect on targets outside the subset or in
 	// another region.
 	Explore bool
+	// Due is true if SlowStart.Due reports it; see FirstDue.
+	Due bool
 }
 
 // sameRegionBudgetShare is the fraction of the remaining latency budget that the
