Count a target as slow only after four reports

Ruled out: a higher ratio, which would miss slowdowns that targets don't report until their correction has risen.

--- a/internal/placement/slow_start.go
+++ b/internal/placement/slow_start.go
@@ -52,6 +52,9 @@
 	// noisy neighbours triple service times for less than a second. At a ratio of 4, queues
 	// of an overload made sound targets count as slow.
 	avoidedRatio = 6
+	// minAvoidedReports is the number of reports from which a target that reports its
+	// slowdown may count as slow: the first of them may come from a moment of noise.
+	minAvoidedReports = 4
 	// goodLatency and badLatency are ratios of the latency to the service time on an
 	// average target with its average queue. Service times of one route vary by a factor
 	// of two, and are doubled at a target that has just started.
@@ -342,7 +345,7 @@
 // Avoided reports whether the target is estimated to be so much slower than others of
 // its service that it gets few requests or none.
 func (t *TargetStats) Avoided(now time.Duration) bool {
-	if t.correction == 0 && t.meanSlowdown == 0 {
+	if t.correction == 0 || t.reports > 0 && t.reports < minAvoidedReports {
 		return false
 	}
 	slowdown := aged(t.meanSlowdown, t.calmSlowdown, t.trust(now))
