Use slow start in the gateway

Cause: a target that started, returned, was released from a health check or recovered from slowness got its full load at once, or stayed idle until its estimates aged.

The gateway begins slow start of a target when it is cold, when it passes a health check and when its estimates exceed those of its service six times; each attempt reports its quality. Slow start applies to services without keys whose configuration names a cold rate or cold period. Targets that it holds back are used if no other candidate is left. A request that is sent because it is due is hedged after half of its budget. Targets that are unblocked because this VM's own path was lost don't enter slow start.

New metric flamingoreel_gateway_slow_start_targets, log lines 'target in slow start' and 'target left slow start'.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -18,6 +18,10 @@
 	// probe reports that the response is expected after the deadline; see
 	// placement.Probe.
 	probe bool
+	// due reports that slow start chose the target; see placement.FirstDue.
+	due bool
+	// chosenAt is the time of the choice.
+	chosenAt time.Duration
 }
 
 // choose returns the target of the next attempt and counts it as started. It
@@ -67,6 +71,9 @@
 	preferred := g.subset(view, a.service)
 	candidates := make([]placement.Candidate, 0, len(endpoints))
 	choices := make([]choice, 0, len(endpoints))
+	paces := g.pacesOf(view, a.service)
+	var held []placement.Candidate
+	var heldChoices []choice
 	for _, e := range endpoints {
 		t := g.stateOf(e)
 		if !t.Accepts(now, t.InFlight) {
@@ -77,21 +84,36 @@
 			continue
 		}
 		cold := max(e.ColdUntil, t.coldUntil) > now
+		paces.follow(e, t, now)
 		if until := t.BlockedUntil(); a.sharded && until > now && until < a.deadline {
 			a.usableAt = until
 		}
 		if t.Blocked(now) || cold && (!t.ColdReady(now) || g.coldInterval(view, service, e, t) == 0) {
 			continue
 		}
-		candidates = append(candidates, placement.Candidate{
+		candidate := placement.Candidate{
 			Stats: &t.TargetStats, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold,
 			OutsideSubset: !a.sharded && !preferred[e.ID] && g.cfg.Regions[e.DataCentre] == g.cfg.Region, Explore: a.route.Kind.Idempotent(),
-		})
-		choices = append(choices, choice{endpoint: e, state: t})
+		}
+		chosen := choice{endpoint: e, state: t, chosenAt: now}
+		if !paces.accepts(t, now) {
+			held, heldChoices = append(held, candidate), append(heldChoices, chosen)
+			continue
+		}
+		candidate.Due = mayProbe && paces.due(a, t, now)
+		candidates, choices = append(candidates, candidate), append(choices, chosen)
+	}
+	if len(candidates) == 0 && mayProbe {
+		// The pace yields where no other target can serve the request.
+		candidates, choices = held, heldChoices
 	}
 	left := a.arrived + a.route.LatencyObjective - now
 	entries := len(view.Entries())
 	g.average(a.service).Entries = entries
+	if due, _ := placement.FirstDue(now, g.workOf(a.name, a.route), candidates); due >= 0 && !g.stopping.endsBefore(a.deadline) {
+		choices[due].due = true
+		return a.take(view, service, choices[due], candidates[due].Cold, now), nil
+	}
 	i, expected := placement.Choose(now, g.workOf(a.name, a.route), left, g.rng, candidates)
 	if i < 0 {
 		g.notePathIfBlocked(now, endpoints)
@@ -121,13 +143,19 @@
 			return choice{}, errkind.New(errkind.Overloaded, "the targets of %s are overloaded", a.service)
 		}
 	}
-	if candidates[i].Cold {
-		choices[i].state.AllowCold(now, g.coldInterval(view, service, choices[i].endpoint, choices[i].state))
-	}
-	a.takeLimit(choices[i], now)
-	choices[i].state.Started()
-	choices[i].state.usedSinceCheck = true
-	return choices[i], nil
+	return a.take(view, service, choices[i], candidates[i].Cold, now), nil
+}
+
+// take counts the attempt at a chosen target; the mutex is held.
+func (a *activeRequest) take(view *fleet.View, service items.Service, c choice, cold bool, now time.Duration) choice {
+	if cold {
+		c.state.AllowCold(now, a.g.coldInterval(view, service, c.endpoint, c.state))
+	}
+	a.takeLimit(c, now)
+	c.state.slowStart.Sent(now)
+	c.state.Started()
+	c.state.usedSinceCheck = true
+	return c
 }
 
 // eligible returns the targets that may run the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 	coldInterval     *knownColdInterval
 	// coldUntil comes from the target's own health check.
 	coldUntil time.Duration
+	slowStart placement.SlowStart
 	// recovering reports that a goroutine checks the target until it is
 	// healthy.
 	recovering bool
@@ -209,7 +210,7 @@
 	}
 	links.Handle(methodRelay, g.handleRelay)
 	if cfg.Registry != nil {
-		cfg.Registry.MustRegister(availabilityCollector{g})
+		cfg.Registry.MustRegister(availabilityCollector{g}, slowStartCollector{g})
 	}
 	links.Serve()
 	g.start(g.watchControl)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -65,6 +65,7 @@
 			c.state.Unblock()
 			c.state.recovering = false
 			c.state.coldUntil = now + coldFor
+			g.released(c, now)
 			g.mu.Unlock()
 			g.cfg.Logger.WithFields(log.Fields{"target": c.endpoint.ID, "cold_for": coldFor}).Info("target healthy again")
 			return
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -16,6 +16,10 @@
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
 	now := a.g.now()
+	if first.due {
+		// The target is tried although a late response is expected.
+		return placement.HedgeAfter(a.arrived+a.route.LatencyObjective-now, 0)
+	}
 	return placement.HedgeAfter(a.arrived+a.route.LatencyObjective-now, first.state.ExpectedLatency(now, first.endpoint.Slots, a.g.workOf(a.name, a.route)))
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -85,6 +85,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.state.Ended()
+	g.updatePace(a, res, now)
+	defer g.updateAvoided(c, now)
 	if !res.undialed {
 		g.updatePath(now, c.endpoint.Address, failure)
 	}
