--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -86,7 +86,7 @@
 	defer g.mu.Unlock()
 	c.state.Ended()
 	g.updatePace(a, res, now)
-	defer g.updateAvoided(c, now)
+	defer g.updateRecovery(c, now)
 	if !res.undialed {
 		g.updatePath(now, c.endpoint.Address, failure)
 	}
--- a/internal/gateway/slow_start.go
+++ b/internal/gateway/slow_start.go
@@ -70,6 +70,9 @@
 	if t.slowStart.Expire(now) {
 		p.g.logSlowStart(e, "", "target left slow start")
 	}
+	if t.slowStart.Origin(now) == "" && t.Avoided(now) && p.g.subset(p.view, p.name)[e.ID] && t.slowStart.Avoided(now, p.at(e, t)) {
+		p.g.logSlowStart(e, placement.OriginSlow, "target in slow start")
+	}
 	until := max(e.ColdUntil, t.coldUntil)
 	if until <= now || t.slowStart.ColdUntil() == until {
 		return
@@ -150,20 +153,11 @@
 	}
 }
 
-// updateAvoided begins the trials of a target that counts as slow since the estimates
-// changed, and ends those of one that does not. The mutex is held.
-func (g *Gateway) updateAvoided(c choice, now time.Duration) {
-	if !c.state.Avoided(now) {
-		if c.state.slowStart.NotAvoided() {
-			g.logSlowStart(c.endpoint, "", "target left slow start")
-		}
-		return
-	}
-	if c.state.slowStart.Origin(now) != "" {
-		return
-	}
-	if p := g.pacesOf(g.view.Load(), c.endpoint.Service); p != nil && c.state.slowStart.Avoided(now, p.at(c.endpoint, c.state)) {
-		g.logSlowStart(c.endpoint, placement.OriginSlow, "target in slow start")
+// updateRecovery ends the trials of a target that no longer counts as slow; the mutex is
+// held.
+func (g *Gateway) updateRecovery(c choice, now time.Duration) {
+	if !c.state.Slow(now) && c.state.slowStart.NotAvoided() {
+		g.logSlowStart(c.endpoint, "", "target left slow start")
 	}
 }
 
--- a/internal/placement/slow_start.go
+++ b/internal/placement/slow_start.go
@@ -47,14 +47,17 @@
 	maxTrialInterval = 4 * time.Second
 	// minTrialInterval is the least time between two trials of one entry.
 	minTrialInterval = time.Second
-	// avoidedRatio is the ratio of the estimated latency to that of an average target
-	// from which a target counts as slow. Targets differ by up to a factor of 2.3, and
-	// noisy neighbours triple service times for less than a second. At a ratio of 4, queues
-	// of an overload made sound targets count as slow.
-	avoidedRatio = 6
-	// minAvoidedReports is the number of reports from which a target that reports its
-	// slowdown may count as slow: the first of them may come from a moment of noise.
-	minAvoidedReports = 4
+	// avoidedRatio is the ratio of the estimated slowdown, with the correction of the
+	// latency, to that of an average target from which a target counts as slow. Targets differ by up to a factor of 2.3, and noisy
+	// neighbours triple service times for less than a second.
+	avoidedRatio = 4
+	// avoidedAge is the time without a response after which a slow target counts as avoided.
+	// The responses of a target that is in use correct its estimates, and without this
+	// condition queues of an overload made sound targets count as slow.
+	avoidedAge = 1500 * time.Millisecond
+	// minAvoidedReports is the number of reports from which a target may count as slow. Its
+	// first response alone, in a moment of noise, can give it a high estimate.
+	minAvoidedReports = 8
 	// goodLatency and badLatency are ratios of the latency to the service time on an
 	// average target with its average queue. Service times of one route vary by a factor
 	// of two, and are doubled at a target that has just started.
@@ -343,14 +346,14 @@
 }
 
 // Avoided reports whether the target is estimated to be so much slower than others of
-// its service that it gets few requests or none.
+// its service that the entry has not used it for some time.
 func (t *TargetStats) Avoided(now time.Duration) bool {
-	if t.correction == 0 || t.reports > 0 && t.reports < minAvoidedReports {
-		return false
-	}
-	slowdown := aged(t.meanSlowdown, t.calmSlowdown, t.trust(now))
-	if t.meanSlowdown == 0 {
-		slowdown = t.ServiceAverage.averageSlowdown(now)
-	}
-	return slowdown*t.latencyCorrection(now) >= avoidedRatio*t.ServiceAverage.averageSlowdown(now)
+	return t.correction != 0 && t.reports >= minAvoidedReports && now-t.evidenceAt >= avoidedAge && t.Slow(now)
+}
+
+// Slow reports whether the target is estimated to be much slower than others of its
+// service, whatever its load.
+func (t *TargetStats) Slow(now time.Duration) bool {
+	usual := math.Max(t.ServiceAverage.averageSlowdown(now), 1)
+	return t.estimatedSlowdown(now)*t.latencyCorrection(now) >= avoidedRatio*usual
 }
--- a/internal/placement/slow_start_test.go
+++ b/internal/placement/slow_start_test.go
@@ -222,3 +222,27 @@
 		}
 	}
 }
+
+// Guards against trials of targets that are in use or little known, and against a target
+// that was much slower than others and is not tried.
+func TestAvoidedTargets(t *testing.T) {
+	for _, c := range []struct {
+		slowdown float64
+		reports  int
+		age      time.Duration
+		want     bool
+	}{{12, minAvoidedReports, avoidedAge, true}, {12, minAvoidedReports, avoidedAge / 2, false}, {12, minAvoidedReports - 1, avoidedAge, false}, {2, minAvoidedReports, avoidedAge, false}} {
+		average := &ServiceAverage{Entries: 9}
+		s, sound := TargetStats{ServiceAverage: average}, TargetStats{ServiceAverage: average}
+		for range 100 {
+			sound.AddReport(time.Second, Load{Running: 1, Slots: 6, Slowdown: 1})
+		}
+		for range c.reports {
+			s.Succeeded(time.Second, time.Duration(c.slowdown*float64(100*time.Millisecond)), 100*time.Millisecond, 6)
+			s.AddReport(time.Second, Load{Running: 1, Slots: 6, Slowdown: c.slowdown})
+		}
+		if got := s.Avoided(time.Second + c.age); got != c.want {
+			t.Errorf("slowdown %v in %d reports, %v ago: %v, want %v", c.slowdown, c.reports, c.age, got, c.want)
+		}
+	}
+}
