Simulate targets that start or recover

Cause: the simulation knew only a lost data centre whose targets are slow for 3 s without entries that know it, so slow start could not be measured.

New patterns 'slow start, ...' for 9, 76 and 195 entries at 0.9 of the stated rate: targets join, a data centre's targets return, every sixth target is 12 times slower for 6 s, every sixth target fails and is released by health checks of each entry. Entries know cold targets and keep the limit for them under both policies. Reported: time to the first request and to 0.8 of the later rate, highest rate, refusals and late responses in the 8 s after. Other patterns name no cold rate, so their results don't change; the policy 'product, no slow start' is new in the list.

--- a/cmd/flamingoreelbench/experiment.go
+++ b/cmd/flamingoreelbench/experiment.go
@@ -26,6 +26,10 @@
 	}
 }
 
+// rampSeeds is the number of seeds over which ramps are averaged: a single ramp depends on
+// which targets happen to be slow.
+const rampSeeds = 3
+
 func runExperiment(_ context.Context, c *cli.Command) error {
 	var rows, last []experiment.Row
 	for _, p := range experiment.Patterns() {
@@ -34,6 +38,20 @@
 			rows = append(rows, last...)
 		}
 	}
+	var ramps []experiment.RampRow
+	for _, p := range experiment.SlowStartPatterns() {
+		if strings.Contains(p.Name, c.String("pattern")) {
+			ramps = append(ramps, experiment.CompareSlowStart(p, c.Uint64("seed"), rampSeeds)...)
+		}
+	}
+	if len(ramps) > 0 {
+		if err := experiment.WriteRamps(os.Stdout, ramps); err != nil {
+			return err
+		}
+	}
+	if len(rows) == 0 && len(ramps) > 0 {
+		return nil
+	}
 	if len(rows) == 0 {
 		return fmt.Errorf("no pattern contains %q", c.String("pattern"))
 	}
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/placement"
@@ -25,11 +26,17 @@
 	// arrivals holds when the requests of the last excessWindow began, if the target
 	// names a limit.
 	arrivals []time.Duration
+	// disturbed reports whether the target has the pattern's disturbance, and
+	// slowness is the factor of that on its service time.
+	disturbed bool
+	slowness  float64
+	// absent reports that the target has not joined yet.
+	absent bool
 }
 
 // load returns the load report of the target.
 func (t *target) load(slots int) placement.Load {
-	return placement.Load{Running: t.running, Waiting: len(t.waiting), Slots: slots, Slowdown: t.speed * t.noise}
+	return placement.Load{Running: t.running, Waiting: len(t.waiting), Slots: slots, Slowdown: t.speed * t.noise * t.slowness}
 }
 
 // entry is a simulated entry VM. It learns the state of targets only from its own
@@ -42,10 +49,16 @@
 	availability []placement.Availability
 	// throttles holds the limits that the targets have named.
 	throttles []placement.Throttle
-	averages  placement.ServiceAverage
-	pressure  placement.LoadShedder
-	preferred map[string]bool
-	rng       *rand.Rand
+	// slow holds the slow start of each target, and coldIntervals the entry's interval at
+	// each cold target; -1 is not computed yet.
+	slow          []placement.SlowStart
+	coldIntervals []time.Duration
+	// heedsSlowStart reports that the policy heeds slow start.
+	heedsSlowStart bool
+	averages       placement.ServiceAverage
+	pressure       placement.LoadShedder
+	preferred      map[string]bool
+	rng            *rand.Rand
 	// idle holds, by target index, when each idle connection was last used.
 	idle map[int][]time.Duration
 	// roundRobin is the position of the round robin policy.
@@ -85,7 +98,7 @@
 	for i, dataCentre := range p.DataCentres {
 		for range dataCentre.Targets {
 			n := len(f.targets)
-			f.targets = append(f.targets, &target{index: n, id: fmt.Sprint("t-", n), dataCentre: i, speed: p.Speeds[n%len(p.Speeds)], noise: 1})
+			f.targets = append(f.targets, &target{index: n, id: fmt.Sprint("t-", n), dataCentre: i, speed: p.Speeds[n%len(p.Speeds)], noise: 1, slowness: 1})
 		}
 	}
 	for i, dataCentre := range p.DataCentres {
@@ -95,6 +108,8 @@
 			e.stats = make([]placement.TargetStats, len(f.targets))
 			e.availability = make([]placement.Availability, len(f.targets))
 			e.throttles = make([]placement.Throttle, len(f.targets))
+			e.slow = make([]placement.SlowStart, len(f.targets))
+			e.coldIntervals = slices.Repeat([]time.Duration{-1}, len(f.targets))
 			f.entries = append(f.entries, e)
 			f.byDataCentre[i] = append(f.byDataCentre[i], e)
 		}
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -68,6 +68,11 @@
 	// PerSecond is the rate of requests of all classes.
 	PerSecond float64
 	Classes   []Class
+	// Disturbance is a disturbance of some targets, if it has an end.
+	Disturbance Disturbance
+	// ColdRate is the requests per second that a cold target takes before the deployment's
+	// factor and slack; 0 leaves entries without knowledge of cold targets.
+	ColdRate float64
 	// Outages are the periods in which targets of a data centre are unreachable.
 	Outages []Outage
 	// Pauses are the times in which targets refuse all requests.
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -47,6 +47,7 @@
 		{"product, pauses ignored", WithoutPauses},
 		{"product, pauses known to all entries", SharedPauses},
 		{"product, limits ignored", WithoutLimits},
+		{"product, no slow start", WithoutSlowStart},
 		{"product", Product},
 		{"oracle", Oracle},
 	}
@@ -56,7 +57,7 @@
 // latency. It refuses the request if no response is expected before the timeout,
 // or if load shedding refuses it because of queue pressure.
 func Product(s *PolicyInput) int {
-	return product(s, options{admission: true, pauses: s.entry.availability, limits: true})
+	return product(s, options{admission: true, pauses: s.entry.availability, limits: true, slowStart: true})
 }
 
 // WithoutLoadShedding is the product's policy without load shedding.
@@ -71,6 +72,8 @@
 	pauses []placement.Availability
 	// limits heeds the limits that targets name.
 	limits bool
+	// slowStart heeds slow start.
+	slowStart bool
 }
 
 func product(s *PolicyInput, o options) int {
@@ -81,6 +84,12 @@
 	if o.limits {
 		candidates, indexes = s.skipLimited(candidates, indexes)
 	}
+	if o.slowStart {
+		var due int
+		if candidates, indexes, due = s.skipSlowStart(candidates, indexes); due >= 0 {
+			return indexes[due]
+		}
+	}
 	i, expected := placement.Choose(s.Now, s.Class.ServiceTime, s.Class.LatencyObjective-s.Waited, s.entry.rng, candidates)
 	if s.Waited+expected > s.Class.Timeout {
 		return -1
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -58,6 +58,10 @@
 	// Classes is the credit of each class by name.
 	Classes map[string]float64
 
+	// Ramp is the ramp of the disturbed targets.
+	Ramp Ramp
+
+	disturbance                                                             deliveries
 	arrived, within, served, refused, attempts, dials, otherRegion, outside int
 	latencies                                                               []time.Duration
 	total                                                                   credit
@@ -86,6 +90,7 @@
 // add records the end of a request.
 func (r *Result) add(q *request, how end, took time.Duration) {
 	r.Requests++
+	r.disturbance.end(q, how, took)
 	earned := 0.0
 	if how == endServed && took <= q.class.Timeout {
 		r.served++
@@ -124,6 +129,7 @@
 	r.WithinObjective, r.Served = share(r.within, r.Requests), share(r.served, r.Requests)
 	r.Refused, r.Attempts = share(r.refused, r.Requests), share(r.attempts, r.Requests)
 	r.NewConnections, r.OtherRegion, r.OutsideSubset = share(r.dials, r.attempts), share(r.otherRegion, r.attempts), share(r.outside, r.attempts)
+	r.Ramp = r.disturbance.ramp()
 	slices.Sort(r.latencies)
 	if n := len(r.latencies); n > 0 {
 		r.P50, r.P99 = r.latencies[n/2], r.latencies[n*99/100]
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -46,6 +46,7 @@
 		r.schedule(o.From, func() { r.f.startOutage(o) })
 		r.schedule(o.To, func() { r.f.endOutage(o) })
 	}
+	r.scheduleDisturbance()
 	for len(r.queue) > 0 {
 		e := heap.Pop(&r.queue).(event)
 		r.now = e.at
@@ -86,12 +87,13 @@
 	f, e := r.f, q.entry
 	s := &PolicyInput{Now: r.now, Class: q.class, Waited: r.now - q.arrived, Refused: len(q.refusedBy) > 0, entry: e, fleet: f}
 	for i, t := range f.targets {
-		if e.stats[i].Blocked(r.now) || slices.Contains(q.refusedBy, i) {
+		cold := f.pattern.ColdRate > 0 && r.now < t.coldUntil
+		if t.absent || e.stats[i].Blocked(r.now) || slices.Contains(q.refusedBy, i) || cold && !r.coldReady(e, t) {
 			continue
 		}
 		d := f.distance(e, t)
 		s.Candidates = append(s.Candidates, placement.Candidate{
-			Stats: &e.stats[i], Slots: f.pattern.Slots, Distance: d, OutsideSubset: d != placement.OtherRegion && !e.preferred[t.id], Explore: !q.class.Unsafe,
+			Stats: &e.stats[i], Slots: f.pattern.Slots, Distance: d, OutsideSubset: d != placement.OtherRegion && !e.preferred[t.id], Explore: !q.class.Unsafe, Cold: cold,
 		})
 		s.TargetIndexes = append(s.TargetIndexes, i)
 	}
@@ -121,6 +123,10 @@
 	q.target, q.sent = f.targets[s.TargetIndexes[i]], r.now
 	e.stats[q.target.index].Started()
 	e.throttles[q.target.index].Take(r.now)
+	e.slow[q.target.index].Sent(r.now)
+	if s.Candidates[i].Cold {
+		e.stats[q.target.index].AllowCold(r.now, f.coldInterval(e, q.target))
+	}
 	r.result.countAttempt(s.Candidates[i], r.connect(e, q.target))
 	r.schedule(r.now+f.delay(e, q.target), func() { r.deliver(q) })
 }
@@ -162,6 +168,7 @@
 // deliver handles the arrival of a request at its target.
 func (r *run) deliver(q *request) {
 	p := r.f.pattern
+	r.result.disturbance.deliver(r.now, q)
 	pause := p.Pauses.left(r.now, q.target.index, len(r.f.targets))
 	switch {
 	case q.target.lost:
@@ -187,6 +194,7 @@
 	t := &q.entry.stats[q.target.index]
 	t.Ended()
 	t.Block(r.now + unreachableBlockTime)
+	r.checkUntilHealthy(q.entry, q.target)
 	r.send(q)
 }
 
@@ -195,9 +203,9 @@
 	t, p := q.target, r.f.pattern
 	t.running++
 	fill := float64(t.running) / float64(p.Slots)
-	factor := t.speed * t.noise * t.slowdown(r.now, p.Limits.of(r.now, t.index)) * (1 + p.FullLoadSlowdown*fill*fill*fill*fill)
+	factor := t.speed * t.noise * t.slowness * t.slowdown(r.now, p.Limits.of(r.now, t.index)) * (1 + p.FullLoadSlowdown*fill*fill*fill*fill)
 	if r.now < t.coldUntil {
-		factor *= p.Outages[0].ColdFactor
+		factor *= p.coldFactor()
 	}
 	r.schedule(r.now+time.Duration(float64(q.work)*factor), func() {
 		t.running--
@@ -238,11 +246,14 @@
 	if refused {
 		t.AddReport(r.now, l)
 		t.Refused()
+		q.entry.slow[q.target.index].Responded(r.now, q.sent, r.f.capacity(q), placement.Failed)
 		q.refusedBy = append(q.refusedBy, q.target.index)
 		r.send(q)
 		return
 	}
+	r.learnPace(q, l)
 	t.Succeeded(r.now, r.now-q.sent, q.class.ServiceTime, r.f.pattern.Slots)
 	t.AddReport(r.now, l)
+	r.noteRecovery(q)
 	r.result.add(q, endServed, r.now-q.arrived)
 }
