--- a/internal/experiment/slow_start.go
+++ b/internal/experiment/slow_start.go
@@ -75,12 +75,19 @@
 			p.Disturbance = disturbance
 			p.Disturbance.Kind, p.Disturbance.DataCentre, p.Disturbance.Factor = v.kind, v.place, v.factor
 			p.Disturbance.ColdFor, p.Disturbance.ColdFactor = v.coldFor, 2
+			if v.kind == Slow {
+				// Entries know targets for long before these become slow.
+				p.Disturbance.From, p.Disturbance.To, p.Length = p.Disturbance.From+slowLater, p.Disturbance.To+slowLater, p.Length+slowLater
+			}
 			patterns = append(patterns, p)
 		}
 	}
 	return patterns
 }
 
+// slowLater is by how much later a slowdown begins than other disturbances.
+const slowLater = 16 * time.Second
+
 // nearCapacity is the factor on the stated rate.
 const nearCapacity = 0.9
 
