--- a/internal/experiment/slow_start.go
+++ b/internal/experiment/slow_start.go
@@ -215,7 +215,7 @@
 	s.entry.heedsSlowStart = true
 	for i, c := range candidates {
 		slow := &s.entry.slow[indexes[i]]
-		if t := s.fleet.targets[indexes[i]]; s.entry.preferred[t.id] && slow.Origin(s.Now) == "" && c.Stats.Avoided(s.Now) {
+		if t := s.fleet.targets[indexes[i]]; s.entry.preferred[t.id] && slow.Origin(s.Now) == "" && c.Stats.Avoided(s.Now, c.Slots) {
 			slow.Avoided(s.Now, s.fleet.pace(s.entry, t))
 		}
 		if slow.Accepts(s.Now) {
@@ -245,7 +245,7 @@
 // noteRecovery ends the trials of a target that no longer counts as slow.
 func (r *run) noteRecovery(q *request) {
 	e, i := q.entry, q.target.index
-	if !e.stats[i].Slow(r.now) {
+	if !e.stats[i].Slow(r.now, r.f.pattern.Slots) {
 		e.slow[i].NotAvoided()
 	}
 }
--- a/internal/gateway/slow_start.go
+++ b/internal/gateway/slow_start.go
@@ -70,7 +70,7 @@
 	if t.slowStart.Expire(now) {
 		p.g.logSlowStart(e, "", "target left slow start")
 	}
-	if t.slowStart.Origin(now) == "" && t.Avoided(now) && p.g.subset(p.view, p.name)[e.ID] && t.slowStart.Avoided(now, p.at(e, t)) {
+	if t.slowStart.Origin(now) == "" && t.Avoided(now, e.Slots) && p.g.subset(p.view, p.name)[e.ID] && t.slowStart.Avoided(now, p.at(e, t)) {
 		p.g.logSlowStart(e, placement.OriginSlow, "target in slow start")
 	}
 	until := max(e.ColdUntil, t.coldUntil)
@@ -156,7 +156,7 @@
 // updateRecovery ends the trials of a target that no longer counts as slow; the mutex is
 // held.
 func (g *Gateway) updateRecovery(c choice, now time.Duration) {
-	if !c.state.Slow(now) && c.state.slowStart.NotAvoided() {
+	if !c.state.Slow(now, c.endpoint.Slots) && c.state.slowStart.NotAvoided() {
 		g.logSlowStart(c.endpoint, "", "target left slow start")
 	}
 }
--- a/internal/placement/slow_start.go
+++ b/internal/placement/slow_start.go
@@ -47,8 +47,8 @@
 	maxTrialInterval = 4 * time.Second
 	// minTrialInterval is the least time between two trials of one entry.
 	minTrialInterval = time.Second
-	// avoidedRatio is the ratio of the estimated slowdown, with the correction of the
-	// latency, to that of an average target from which a target counts as slow. Targets differ by up to a factor of 2.3, and noisy
+	// avoidedRatio is the ratio of the expected latency to that at an average target from
+	// which a target counts as slow. A slow target also has a queue. Targets differ by up to a factor of 2.3, and noisy
 	// neighbours triple service times for less than a second.
 	avoidedRatio = 4
 	// avoidedAge is the time without a response after which a slow target counts as avoided.
@@ -347,13 +347,14 @@
 
 // Avoided reports whether the target is estimated to be so much slower than others of
 // its service that the entry has not used it for some time.
-func (t *TargetStats) Avoided(now time.Duration) bool {
-	return t.correction != 0 && t.reports >= minAvoidedReports && now-t.evidenceAt >= avoidedAge && t.Slow(now)
+func (t *TargetStats) Avoided(now time.Duration, slots int) bool {
+	return t.correction != 0 && t.reports >= minAvoidedReports && now-t.evidenceAt >= avoidedAge && t.Slow(now, slots)
 }
 
-// Slow reports whether the target is estimated to be much slower than others of its
-// service, whatever its load.
-func (t *TargetStats) Slow(now time.Duration) bool {
-	usual := math.Max(t.ServiceAverage.averageSlowdown(now), 1)
-	return t.estimatedSlowdown(now)*t.latencyCorrection(now) >= avoidedRatio*usual
+// Slow reports whether a response of the target is expected much later than one of an
+// average target of its service with its average load.
+func (t *TargetStats) Slow(now time.Duration, slots int) bool {
+	fill := (t.ServiceAverage.averageLoad(now) + 1) / float64(max(slots, 1))
+	usual := math.Max(fill, 1) * math.Max(t.ServiceAverage.averageSlowdown(now), 1)
+	return float64(t.ExpectedLatency(now, slots, time.Second)) >= avoidedRatio*usual*float64(time.Second)
 }
--- a/internal/placement/slow_start_test.go
+++ b/internal/placement/slow_start_test.go
@@ -241,7 +241,7 @@
 			s.Succeeded(time.Second, time.Duration(c.slowdown*float64(100*time.Millisecond)), 100*time.Millisecond, 6)
 			s.AddReport(time.Second, Load{Running: 1, Slots: 6, Slowdown: c.slowdown})
 		}
-		if got := s.Avoided(time.Second + c.age); got != c.want {
+		if got := s.Avoided(time.Second+c.age, 6); got != c.want {
 			t.Errorf("slowdown %v in %d reports, %v ago: %v, want %v", c.slowdown, c.reports, c.age, got, c.want)
 		}
 	}
