--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,6 +139,10 @@
 	// not known or high.
 	link *linkScheduler
 	rng  *rand.Rand
+	// regionEntries is the number of entries in the region, and slowStartEntries the
+	// least one at which slow start applies.
+	regionEntries    countedEntries
+	slowStartEntries int
 
 	// relayLimit bounds the requests that this VM serves for others, relayCopies the
 	// copies of bodies that it sends to others.
@@ -168,6 +172,7 @@
 	coldInterval     *knownColdInterval
 	// coldUntil comes from the target's own health check.
 	coldUntil time.Duration
+	slowStart placement.SlowStart
 	// recovering reports that a goroutine checks the target until it is
 	// healthy.
 	recovering bool
@@ -199,7 +204,7 @@
 		samples:   make(map[string]*registry.Samples), stopping: newStopping(),
 		path: reach.NewPath(), relayPeers: reach.NewPeers(reach.Peer{Addr: cfg.Addr, DataCentre: cfg.DataCentre, Region: cfg.Region}),
 		relayLimit: relayLimit, relayCopies: newRelayLimiter(cfg.RelayBytes), linkBudget: reach.NewLinkBudget(cfg.LinkBytes),
-		rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), slowStartEntries: defaultSlowStartEntries,
 	}
 	g.view.Store(fleet.NewView())
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -209,7 +214,7 @@
 	}
 	links.Handle(methodRelay, g.handleRelay)
 	if cfg.Registry != nil {
-		cfg.Registry.MustRegister(availabilityCollector{g})
+		cfg.Registry.MustRegister(availabilityCollector{g}, slowStartCollector{g})
 	}
 	links.Serve()
 	g.start(g.watchControl)
