Serve connections accepted while a planned stop closes the listener

A connection that was accepted when Shutdown closed the listeners was closed unread, so its caller got no answer to a request that it may have sent. net/http serves such a connection. Only Close ends them now.

TestConnectionAcceptedDuringShutdownIsServed failed before ("closed pipe").

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -61,10 +61,11 @@
 	// draining is true once keep-alives are disabled.
 	draining atomic.Bool
 
-	mu        sync.Mutex
-	closed    bool
-	listeners map[net.Listener]struct{}
-	conns     map[*conn]struct{}
+	mu sync.Mutex
+	// closed is true once the listeners are closed, aborted once all connections are.
+	closed, aborted bool
+	listeners       map[net.Listener]struct{}
+	conns           map[*conn]struct{}
 }
 
 // NewServer returns a Server that serves no listener yet.
@@ -168,7 +169,7 @@
 func (s *Server) start(rwc net.Conn) {
 	c := newConn(s, rwc)
 	s.mu.Lock()
-	if s.closed {
+	if s.aborted {
 		s.mu.Unlock()
 		_ = rwc.Close()
 		return
@@ -212,7 +213,8 @@
 	return open
 }
 
-// closeListeners ends Serve. Connections that it has accepted meanwhile are closed.
+// closeListeners ends Serve. A connection that it has accepted meanwhile is served unless
+// the server is aborted: its caller may have sent a request.
 func (s *Server) closeListeners() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -264,6 +266,9 @@
 
 // Close closes the listeners and all connections at once.
 func (s *Server) Close() error {
+	s.mu.Lock()
+	s.aborted = true
+	s.mu.Unlock()
 	s.closeListeners()
 	for _, c := range s.openConns() {
 		c.end()
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -290,3 +290,62 @@
 		t.Errorf("an idle connection ended with %v after %v", err, time.Since(began))
 	}
 }
+
+// acceptedLate is a listener whose connection is accepted before the listener is closed and
+// returned afterwards.
+type acceptedLate struct {
+	conn   chan net.Conn
+	closed chan struct{}
+}
+
+func (l *acceptedLate) Accept() (net.Conn, error) {
+	<-l.closed
+	if conn, ok := <-l.conn; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l *acceptedLate) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *acceptedLate) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a request that is cut off because its connection was accepted at the
+// moment at which a planned stop closed the listener.
+func TestConnectionAcceptedDuringShutdownIsServed(t *testing.T) {
+	server := NewServer(ServerConfig{
+		Handler:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
+		Connections: NewConnections(), Limits: func() Limits { return LimitsOf(nil) },
+	})
+	near, far := net.Pipe()
+	l := &acceptedLate{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+	l.conn <- far
+	close(l.conn)
+	go func() { _ = server.Serve(l) }()
+	for !server.hasListener() {
+		time.Sleep(time.Millisecond)
+	}
+	server.closeListeners()
+	_ = near.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("got %v, %v, want a response", resp, err)
+	}
+	_ = server.Close()
+}
+
+func (s *Server) hasListener() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.listeners) > 0
+}
