--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -74,6 +74,9 @@
 			Flags: []cli.Flag{
 				&cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
 				stringFlag("log-level", "info", "debug, info, warn or error"),
+				&cli.BoolFlag{
+					Name: "slow-start", Usage: "entries let the share of targets that start or recover grow with their responses", Sources: env("slow-start"),
+				},
 			},
 			Action: func(_ context.Context, c *cli.Command) error {
 				p, err := newProcess(c)
@@ -100,6 +103,8 @@
 	logs     *logs.Handler
 	logger   *log.Logger
 	registry *prometheus.Registry
+	// slowStart is gateway.Config.SlowStart.
+	slowStart bool
 	// serverErrors receives the errors of servers that failed.
 	serverErrors chan error
 	// reloads receives requests to reload the settings.
@@ -121,7 +126,7 @@
 	p := &process{
 		path: path, settings: settings, modified: modified, logs: handler,
 		logger: &log.Logger{Handler: handler, Level: level}, registry: prometheus.NewRegistry(), serverErrors: make(chan error, 4),
-		reloads: make(chan struct{}, 1),
+		reloads: make(chan struct{}, 1), slowStart: c.Bool("slow-start"),
 	}
 	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "flamingoreel_log_lines_dropped_total", Help: "Log lines dropped to stay within the permitted volume.",
@@ -225,7 +230,7 @@
 	g, err := gateway.New(gateway.Config{
 		Addr: s.LinkAddr, Region: s.Region, DataCentre: s.DataCentre, Regions: s.Regions, Seeds: s.Seeds,
 		Dialect: platform.Dialect{}, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		RelayBytes: int64(relayMemoryFraction * float64(s.MemoryBytes)), LinkBytes: s.LinkBytes,
+		RelayBytes: int64(relayMemoryFraction * float64(s.MemoryBytes)), LinkBytes: s.LinkBytes, SlowStart: p.slowStart,
 		Seed: uint64(time.Now().UnixNano()), Logger: p.logger, Registry: p.registry,
 	})
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,9 @@
 	// that it is not known, and that neither downloads nor the requests of other entry
 	// VMs are limited.
 	LinkBytes float64
+	// SlowStart lets the share of targets that start or recover grow with their
+	// responses, where their service names a cold start.
+	SlowStart bool
 	Seed      uint64
 	Logger    log.Interface
 	Registry  prometheus.Registerer
--- a/internal/gateway/slow_start.go
+++ b/internal/gateway/slow_start.go
@@ -77,7 +77,7 @@
 // apply to them; the mutex is held.
 func (g *Gateway) pacesOf(view *fleet.View, name string) *paces {
 	service, ok := view.Service(name)
-	if !ok || !hasSlowStart(service) || g.entriesInRegion(view) < g.slowStartEntries {
+	if !g.cfg.SlowStart || !ok || !hasSlowStart(service) || g.entriesInRegion(view) < g.slowStartEntries {
 		return nil
 	}
 	return &paces{g: g, view: view, service: service, name: name}
--- a/internal/gateway/slow_start_test.go
+++ b/internal/gateway/slow_start_test.go
@@ -30,7 +30,7 @@
 		}))
 	}
 	b := newTestbedAt(t, func() time.Duration { return time.Duration(now.Load()) }, targets...)
-	b.g.slowStartEntries = 1
+	b.g.cfg.SlowStart, b.g.slowStartEntries = true, 1
 	logs := memory.New()
 	b.g.cfg.Logger = &log.Logger{Handler: logs, Level: log.InfoLevel}
 	b.put(fleet.Delta{
