--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -68,45 +68,7 @@
 	if failure != nil {
 		return choice{}, failure
 	}
-	preferred := g.subset(view, a.service)
-	candidates := make([]placement.Candidate, 0, len(endpoints))
-	choices := make([]choice, 0, len(endpoints))
-	paces := g.pacesOf(view, a.service)
-	var held []placement.Candidate
-	var heldChoices []choice
-	for _, e := range endpoints {
-		t := g.stateOf(e)
-		if !t.Accepts(now, t.InFlight) {
-			a.deferTo(t, now)
-			continue
-		}
-		if !a.withinLimit(view, e, t, now) {
-			continue
-		}
-		cold := max(e.ColdUntil, t.coldUntil) > now
-		paces.follow(e, t, now)
-		if until := t.BlockedUntil(); a.sharded && until > now && until < a.deadline {
-			a.usableAt = until
-		}
-		if t.Blocked(now) || cold && (!t.ColdReady(now) || g.coldInterval(view, service, e, t) == 0) {
-			continue
-		}
-		candidate := placement.Candidate{
-			Stats: &t.TargetStats, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold,
-			OutsideSubset: !a.sharded && !preferred[e.ID] && g.cfg.Regions[e.DataCentre] == g.cfg.Region, Explore: a.route.Kind.Idempotent(),
-		}
-		chosen := choice{endpoint: e, state: t, chosenAt: now}
-		if !paces.accepts(t, now) {
-			held, heldChoices = append(held, candidate), append(heldChoices, chosen)
-			continue
-		}
-		candidate.Due = mayProbe && paces.due(a, t, now)
-		candidates, choices = append(candidates, candidate), append(choices, chosen)
-	}
-	if len(candidates) == 0 && mayProbe {
-		// The pace yields where no other target can serve the request.
-		candidates, choices = held, heldChoices
-	}
+	candidates, choices := a.candidates(view, service, endpoints, now, mayProbe)
 	left := a.arrived + a.route.LatencyObjective - now
 	entries := len(view.Entries())
 	g.average(a.service).Entries = entries
@@ -147,6 +109,50 @@
 	return a.take(view, service, choices[i], candidates[i].Cold, now), nil
 }
 
+// candidates returns those of the targets that accept the request now, as candidates and
+// as choices with the same indexes. If slow start holds back all of them, it holds back
+// none. The mutex is held.
+func (a *activeRequest) candidates(view *fleet.View, service items.Service, endpoints []*fleet.Endpoint, now time.Duration, mayProbe bool) ([]placement.Candidate, []choice) {
+	g := a.g
+	preferred, paces := g.subset(view, a.service), g.pacesOf(view, a.service)
+	candidates, choices := make([]placement.Candidate, 0, len(endpoints)), make([]choice, 0, len(endpoints))
+	var held []placement.Candidate
+	var heldChoices []choice
+	for _, e := range endpoints {
+		t := g.stateOf(e)
+		if !t.Accepts(now, t.InFlight) {
+			a.deferTo(t, now)
+			continue
+		}
+		if !a.withinLimit(view, e, t, now) {
+			continue
+		}
+		cold := max(e.ColdUntil, t.coldUntil) > now
+		paces.follow(e, t, now)
+		if until := t.BlockedUntil(); a.sharded && until > now && until < a.deadline {
+			a.usableAt = until
+		}
+		if t.Blocked(now) || cold && (!t.ColdReady(now) || g.coldInterval(view, service, e, t) == 0) {
+			continue
+		}
+		candidate := placement.Candidate{
+			Stats: &t.TargetStats, Slots: e.Slots, Distance: g.distance(e.DataCentre), Cold: cold,
+			OutsideSubset: !a.sharded && !preferred[e.ID] && g.cfg.Regions[e.DataCentre] == g.cfg.Region, Explore: a.route.Kind.Idempotent(),
+		}
+		chosen := choice{endpoint: e, state: t, chosenAt: now}
+		if !paces.accepts(t, now) {
+			held, heldChoices = append(held, candidate), append(heldChoices, chosen)
+			continue
+		}
+		candidate.Due = mayProbe && paces.due(a, t, now)
+		candidates, choices = append(candidates, candidate), append(choices, chosen)
+	}
+	if len(candidates) == 0 && mayProbe {
+		return held, heldChoices
+	}
+	return candidates, choices
+}
+
 // take counts the attempt at a chosen target; the mutex is held.
 func (a *activeRequest) take(view *fleet.View, service items.Service, c choice, cold bool, now time.Duration) choice {
 	if cold {
