--- a/cmd/flamingoreeld/unbounded_test.go
+++ b/cmd/flamingoreeld/unbounded_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -158,27 +157,7 @@
 		t.Fatal(err)
 	}
 	role, _, _ := strings.Cut(name, "-")
-	cmd := exec.CommandContext(context.Background(), "sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(unboundedDescriptors), binary, role)
-	cmd.Env = append(os.Environ(), "FLAMINGOREEL_BOOT="+path)
-	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	p := &boundedProcess{s: s, name: name, cmd: cmd, exited: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.exited)
-	}()
-	t.Cleanup(func() {
-		_ = cmd.Process.Kill()
-		<-p.exited
-		_ = log.Close()
-	})
-	return p
+	return s.startBounded(t, name, []string{"FLAMINGOREEL_BOOT=" + path}, binary, role)
 }
 
 // check fails the test if the process has ended or exceeds a bound.
