Let bodies that arrive slowly give way to later requests

Connections in that state also counted as served, so that neither they nor their heads gave way when the connections or the memory of heads exceeded their bound.

A body reserves its announced length, and nothing ended a reservation but the read deadline. Ruled out: a shorter deadline alone, because a crowd renews it, and the refusal of long bodies, because single ones within the limit must be served.

Connections have the phase "receiving" while a body arrives, of which nothing was passed on. Beyond the bound on connections or heads, the one that has been reading or receiving for longest is closed with 503; a longer idle one goes first while no head is read. The memory is a type of its own, so that the addresses of a process can share one. Long bodies reserve what has arrived, twice over, instead of their length.

TestRosterKeepsTheBound covers the new phase. TestBodiesStayWithinTheMemory reads the memory through its new type.

--- a/cmd/flamingoreelctl/items.go
+++ b/cmd/flamingoreelctl/items.go
@@ -76,7 +76,7 @@
 			MaxHeaderBytes: int(defaults.HeadBytes), MaxBodyBytes: int(defaults.BodyBytes),
 			HeaderTimeout: defaults.HeadTimeout, IdleTimeout: defaults.IdleTimeout,
 		},
-		MaxHeaderBytes: callers.MaxHeadBytes, BodyMemory: callers.BodyMemory(s.items.memory), FormatVersion: platform.FormatVersion,
+		MaxHeaderBytes: callers.MaxHeadBytes, BodyMemory: callers.RequestMemory(s.items.memory), FormatVersion: platform.FormatVersion,
 	})
 	t.print(itemReport{s.file, report}, func() { t.itemText(s.file, report) })
 	if report.Failed() {
--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -237,8 +237,9 @@
 		return cli.Exit(err, exitSettings)
 	}
 	defer g.Close()
+	connected := callers.NewConnections()
 	ingress := &platform.Ingress{
-		Gateway: g, Connections: callers.NewConnections(), Bodies: callers.NewBodies(s.MemoryBytes), IdleTime: callerIdleTime,
+		Gateway: g, Connections: connected, Bodies: callers.NewBodyReader(callers.NewMemory(s.MemoryBytes), connected), IdleTime: callerIdleTime,
 	}
 	server, err := p.listenCallers(ctx, s.CallerAddr, ingress)
 	if err != nil {
--- a/internal/callers/bodies.go
+++ b/internal/callers/bodies.go
@@ -5,80 +5,80 @@
 	"io"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 )
 
-// BodyReader reads request bodies and limits the memory that the bodies of all
-// requests in progress take together. It is safe for concurrent use.
+// BodyReader reads request bodies within the memory that all requests of a process may
+// take together. It is safe for concurrent use.
 type BodyReader struct {
-	mu sync.Mutex
-	// available is the number of bytes that may still be reserved.
-	available int64
+	memory *Memory
+	// connections, if set, are those of the requests. Bodies that arrive slowly are then
+	// refused in favour of later ones.
+	connections *Connections
 }
 
-// bodyMemoryFraction is the fraction of a VM's memory that request bodies may
-// take. On a VM with 184 MB, it allows one body of the largest size that
-// configurations allow, 64 MiB, and leaves the rest to the process.
-const bodyMemoryFraction = 0.4
-
 // NewBodies returns a BodyReader for a VM with the given memory in bytes; 0 means no
 // limit.
-func NewBodies(memory int64) *BodyReader {
-	if memory <= 0 {
-		return &BodyReader{available: 1 << 62}
-	}
-	return &BodyReader{available: BodyMemory(memory)}
-}
+func NewBodies(memory int64) *BodyReader { return NewBodyReader(NewMemory(memory), nil) }
 
-// BodyMemory returns how many bytes of a VM's memory the bodies of all requests in
-// progress may take together.
-func BodyMemory(memory int64) int64 { return int64(bodyMemoryFraction * float64(memory)) }
-
-func (b *BodyReader) reserve(n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.available < n {
-		return false
-	}
-	b.available -= n
-	return true
-}
-
-func (b *BodyReader) release(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.available += n
+// NewBodyReader returns a BodyReader that shares memory with others. If connections is not
+// nil, it is that of the server whose requests are read.
+func NewBodyReader(memory *Memory, connections *Connections) *BodyReader {
+	return &BodyReader{memory: memory, connections: connections}
 }
 
 // Body is the body of a request.
 type Body struct {
-	Bytes []byte
-	// reserved is the number of bytes reserved from bodies.
+	Bytes  []byte
+	reader *BodyReader
+	// tracked is the connection on which the body is received; nil if it isn't tracked. Then
+	// reserved and refused are guarded by the mutex of the Connections.
+	tracked *connection
+	// reserved is the number of bytes reserved from the memory.
 	reserved int64
-	bodies   *BodyReader
+	// refused is true once the body was refused because of later requests.
+	refused bool
 }
 
 // Release returns the memory reserved for the body, which must not be used
 // afterwards.
 func (b *Body) Release() {
-	if b.bodies != nil {
-		b.bodies.release(b.reserved)
-		b.bodies, b.Bytes = nil, nil
+	if b.reader != nil {
+		b.reader.release(b)
+		b.reader, b.Bytes = nil, nil
 	}
 }
 
-// initialReservation is the number of bytes that are reserved at first for a body
-// of unknown length; the reservation doubles as the body grows.
-const initialReservation = 16 << 10
+// Reserve reserves n more bytes until Release, for what is made of the body. It reports
+// whether the memory was available.
+func (b *Body) Reserve(n int64) bool { return b.reader == nil || b.reader.reserve(b, n) }
+
+const (
+	// minReservation is the number of bytes that are reserved at first for a body of
+	// unknown length.
+	minReservation = 16 << 10
+	// fullReservation is the announced length up to which the whole body is reserved at
+	// once. The reservation of other bodies doubles as they grow.
+	fullReservation = 64 << 10
+)
+
+// nextReservation returns how much is reserved for a body of which have bytes were received
+// and whose announced length is length, -1 if unknown.
+func nextReservation(have, length int64) int64 {
+	if length < 0 {
+		return max(minReservation, have)
+	}
+	return min(max(fullReservation, have), length-have)
+}
 
 // Read checks the head of a request against the limits and reads its body within
 // the timeout. The kinds of the returned errors are:
 //   - HeadTooLarge and BodyTooLarge: a limit is exceeded
 //   - CallerTooSlow: the body did not arrive within the timeout
-//   - Overloaded: the bodies of other requests take the available memory
+//   - Overloaded: other requests take the available memory, or need it while this body
+//     arrives slowly
 //   - BadRequest: the connection broke or the body is malformed
 //
 // The returned Body must be released.
@@ -98,8 +98,13 @@
 	if err := control.SetReadDeadline(time.Now().Add(timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "the connection is closed")
 	}
-	body, failure := b.read(http.MaxBytesReader(w, r.Body, limits.BodyBytes), r.ContentLength)
+	body := b.begin(r)
+	failure := body.receive(http.MaxBytesReader(w, r.Body, limits.BodyBytes), r.ContentLength)
+	if !b.end(body) && failure == nil {
+		failure = errReplaced()
+	}
 	if failure != nil {
+		body.Release()
 		w.Header().Set("Connection", "close")
 		return nil, failure
 	}
@@ -110,42 +115,38 @@
 	return body, nil
 }
 
-// read reads a body of the announced length; -1 means that the length is unknown.
-func (b *BodyReader) read(from io.Reader, length int64) (*Body, *errkind.Error) {
-	body := &Body{bodies: b}
-	if length < 0 {
-		length = initialReservation
-	}
+// errReplaced is the failure of a body that was refused because of later requests.
+func errReplaced() *errkind.Error {
+	return errkind.New(errkind.Overloaded, "the body arrives slowly, and later requests need the memory of this VM")
+}
+
+// receive reads a body of the announced length; -1 means that the length is unknown.
+func (b *Body) receive(from io.Reader, length int64) *errkind.Error {
 	for {
-		if !body.grow(length) {
-			body.Release()
-			return nil, errkind.New(errkind.Overloaded, "the bodies of other requests take the available memory of this VM")
+		n := nextReservation(int64(len(b.Bytes)), length)
+		if !b.reader.reserve(b, n) {
+			return errkind.New(errkind.Overloaded, "other requests take the available memory of this VM")
 		}
-		err := body.fill(from)
-		if errors.Is(err, io.EOF) {
-			return body, nil
+		b.grow(n)
+		err := b.fill(from)
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil && b.reader.refused(b):
+			return errReplaced()
+		case err != nil:
+			return readError(err)
 		}
-		if err != nil {
-			body.Release()
-			return nil, readError(err)
-		}
-		length = int64(len(body.Bytes))
 	}
 }
 
-// grow reserves n more bytes and enlarges the buffer. It reports whether the
-// memory was available.
-func (b *Body) grow(n int64) bool {
-	if !b.bodies.reserve(n) {
-		return false
-	}
-	b.reserved += n
+// grow enlarges the buffer by n bytes.
+func (b *Body) grow(n int64) {
 	// The additional byte lets fill reach the end of a body of the announced length
 	// without a further reservation.
-	grown := make([]byte, len(b.Bytes), b.reserved+1)
+	grown := make([]byte, len(b.Bytes), int64(len(b.Bytes))+n+1)
 	copy(grown, b.Bytes)
 	b.Bytes = grown
-	return true
 }
 
 // fill reads until the buffer is full. It returns io.EOF at the end of the body.
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -170,7 +170,7 @@
 // reserved memory that is not released.
 func TestBodiesStayWithinTheMemory(t *testing.T) {
 	const capacity = 40_000
-	bodies := NewBodies(capacity / bodyMemoryFraction * 1.001)
+	bodies := NewBodies(capacity / requestMemoryFraction * 1.001)
 	s := newServer(t, items.Limits{}, bodies)
 	s.bodyTimeout = 5 * time.Second
 	for range 3 {
@@ -189,11 +189,7 @@
 	if _, err := io.WriteString(partial, post(capacity)[:capacity/2]); err != nil {
 		t.Fatal(err)
 	}
-	available := func() int64 {
-		bodies.mu.Lock()
-		defer bodies.mu.Unlock()
-		return bodies.available
-	}
+	available := func() int64 { return bodies.memory.limit - bodies.memory.Used() }
 	// A request before the unfinished body has its memory could take it away from it.
 	for end := time.Now().Add(5 * time.Second); available() >= capacity/2; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
--- a/internal/callers/connection_limit.go
+++ b/internal/callers/connection_limit.go
@@ -61,25 +61,33 @@
 		if tracked == nil {
 			return closed
 		}
-		c.counts.closed[tracked.phase]++
-		// The memory of the head is needed after the removal to choose the response.
-		size := tracked.head
-		c.forget(tracked.conn)
-		tracked.head = size
-		c.idleSince = time.Now()
-		closed = append(closed, tracked)
+		closed = append(closed, c.removeForBound(tracked))
 	}
 }
 
-// excessResponse is sent if a connection is closed because of the bound after a part
-// of a head was received.
+// removeForBound stops tracking a connection, which the caller closes with closeExcess.
+func (c *Connections) removeForBound(tracked *connection) *connection {
+	c.counts.closed[tracked.phase]++
+	// The size of the head is needed after the removal to choose the response.
+	size := tracked.head
+	c.forget(tracked.conn)
+	tracked.head = size
+	if tracked.body != nil {
+		c.refuse(tracked.body)
+	}
+	c.idleSince = time.Now()
+	return tracked
+}
+
+// excessResponse is sent if a connection is closed because of a bound after a part of a
+// request was received.
 const excessResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // closeExcess closes connections. It does not wait for callers.
 func closeExcess(closed []*connection) {
 	for _, tracked := range closed {
-		if tracked.phase == reading && tracked.head.bytes > 0 {
-			// Nothing was written on the connection for this request.
+		if tracked.phase == receiving || tracked.phase == reading && tracked.head.bytes > 0 {
+			// Nothing was written on the connection for this request, but perhaps 100 Continue.
 			writeNow(tracked.conn, excessResponse)
 		}
 		_ = tracked.conn.Close()
--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -18,6 +18,8 @@
 	// reading means that the connection is new or that a part of the head of a
 	// request was received.
 	reading phase = iota
+	// receiving means that the body of a request is received, which was not passed on.
+	receiving
 	// serving means that the head of a request was read completely and the response
 	// is not complete.
 	serving
@@ -35,6 +37,8 @@
 	since time.Time
 	// head is the size of the head that arrives or whose request is served.
 	head head
+	// body is the body that is received in the phase of that name.
+	body *Body
 	// element is the connection's place in the roster.
 	element *list.Element
 }
@@ -55,11 +59,17 @@
 	counts counts
 	// idleSince is when a connection last became idle or ended.
 	idleSince time.Time
+	// returning is the memory of refused bodies that is not released yet; returned signals
+	// that some was.
+	returning int64
+	returned  *sync.Cond
 }
 
 // NewConnections returns a Connections that tracks no connections yet.
 func NewConnections() *Connections {
-	return &Connections{conns: make(map[net.Conn]*connection), idleSince: time.Now()}
+	c := &Connections{conns: make(map[net.Conn]*connection), idleSince: time.Now()}
+	c.returned = sync.NewCond(&c.mu)
+	return c
 }
 
 // WrapListener wraps a listener, so that the first byte of each request is noticed.
--- a/internal/callers/head_limit.go
+++ b/internal/callers/head_limit.go
@@ -52,7 +52,7 @@
 func (c *Connections) received(conn net.Conn, data []byte) bool {
 	c.mu.Lock()
 	tracked := c.conns[conn]
-	if tracked == nil || tracked.phase == serving {
+	if tracked == nil || tracked.phase == serving || tracked.phase == receiving {
 		c.mu.Unlock()
 		return true
 	}
--- a/internal/callers/metrics.go
+++ b/internal/callers/metrics.go
@@ -17,7 +17,7 @@
 }
 
 // String returns the metric label of the phase.
-func (p phase) String() string { return [...]string{"reading", "serving", "idle"}[p] }
+func (p phase) String() string { return [...]string{"reading", "receiving", "serving", "idle"}[p] }
 
 // collector exports the state of the connections of one listener.
 type collector struct {
@@ -84,7 +84,8 @@
 			exceeded = changed
 			entry := logger.WithFields(log.Fields{
 				"listener": listener, "connections": open, "bound": c.roster.bound.Connections,
-				"closed_reading": now.closed[reading] - last.closed[reading], "closed_idle": now.closed[idle] - last.closed[idle],
+				"closed_reading": now.closed[reading] - last.closed[reading], "closed_receiving": now.closed[receiving] - last.closed[receiving],
+				"closed_idle":   now.closed[idle] - last.closed[idle],
 				"heads_refused": now.refusedHeads - last.refusedHeads,
 			})
 			if exceeded {
--- a/internal/callers/pipeline.go
+++ b/internal/callers/pipeline.go
@@ -36,8 +36,8 @@
 
 	mu sync.Mutex
 	// queue holds the requests whose responses are not complete, in order. Invariant:
-	// the phase of the connection in Connections is serving while the queue is not
-	// empty.
+	// the phase of the connection in Connections is serving or receiving while the queue
+	// is not empty.
 	queue []*exchange
 	// served is true once a request was read.
 	served bool
--- a/internal/callers/roster.go
+++ b/internal/callers/roster.go
@@ -111,24 +111,58 @@
 }
 
 // excess returns the connection to close next, nil while all are within the bound. It
-// is the one that has been reading a head for longest, then the longest idle one, never
-// one whose request is served. newest, if not nil, was just opened and is closed only if
-// all others are served.
+// is the one that has been reading a head or receiving a body for longest. While no head is
+// read, it is the longest idle one if that is idle for longer. It is never one whose request
+// is served. newest, if not nil, was just opened and is closed only if all others are served.
 func (r *roster) excess(newest *connection) *connection {
 	if r.bound.HeadMemory > 0 && r.headMemory > r.bound.HeadMemory && r.largeHeads > 1 {
-		for e := r.byPhase[reading].Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*connection); c.head.memory() > 0 {
-				return c
-			}
+		if c := r.oldestArriving(func(c *connection) bool { return c.head.memory() > 0 }, reading, receiving); c != nil {
+			return c
 		}
 	}
 	if r.bound.Connections == 0 || r.count <= r.bound.Connections {
 		return nil
 	}
-	for _, p := range []phase{reading, idle} {
-		if e := r.byPhase[p].Front(); e != nil && e.Value.(*connection) != newest {
-			return e.Value.(*connection)
+	notNewest := func(c *connection) bool { return c != newest }
+	oldest := r.oldestArriving(notNewest, reading, receiving)
+	if e := r.byPhase[idle].Front(); e != nil && r.oldestArriving(notNewest, reading) == nil {
+		if c := e.Value.(*connection); oldest == nil || c.since.Before(oldest.since) {
+			return c
+		}
+	}
+	if oldest == nil {
+		return newest
+	}
+	return oldest
+}
+
+// oldestArriving returns the connection that has been in one of some phases for longest among
+// those that match, or nil.
+func (r *roster) oldestArriving(match func(*connection) bool, in ...phase) (oldest *connection) {
+	for _, p := range in {
+		for e := r.byPhase[p].Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*connection); match(c) {
+				if oldest == nil || c.since.Before(oldest.since) {
+					oldest = c
+				}
+				break
+			}
+		}
+	}
+	return oldest
+}
+
+// oldestBody returns the connection whose body has memory and has been arriving for longest,
+// nil if none has been for longer than that of another connection.
+func (r *roster) oldestBody(than *connection) *connection {
+	for e := r.byPhase[receiving].Front(); e != nil; e = e.Next() {
+		c := e.Value.(*connection)
+		if c == than {
+			return nil
+		}
+		if c.body != nil && c.body.reserved > 0 {
+			return c
 		}
 	}
-	return newest
+	return nil
 }
--- a/internal/callers/roster_test.go
+++ b/internal/callers/roster_test.go
@@ -130,7 +130,12 @@
 			} else {
 				at := rng.IntN(len(open))
 				c := open[at]
-				switch rng.IntN(5) {
+				switch rng.IntN(6) {
+				case 5:
+					if c.phase == serving {
+						r.move(c, receiving)
+						c.since = now
+					}
 				case 0:
 					r.remove(c)
 					open = append(open[:at], open[at+1:]...)
@@ -141,7 +146,7 @@
 					r.move(c, idle)
 					c.since = now
 				default:
-					if c.phase != serving {
+					if c.phase != serving && c.phase != receiving {
 						if c.phase == idle {
 							r.move(c, reading)
 							c.since = now
@@ -175,7 +180,7 @@
 		heads := sum > r.bound.HeadMemory && large > 1
 		if victim == nil {
 			for _, c := range open {
-				if r.count > r.bound.Connections && c.phase != serving || heads && c.phase == reading && c.head.memory() > 0 {
+				if r.count > r.bound.Connections && c.phase != serving || heads && (c.phase == reading || c.phase == receiving) && c.head.memory() > 0 {
 					t.Fatalf("a bound is exceeded, but a connection in phase %v stays open", c.phase)
 				}
 			}
@@ -189,8 +194,12 @@
 			if c != victim {
 				kept = append(kept, c)
 			}
-			older := c.phase == victim.phase && c.since.Before(victim.since) && (!heads || c.head.memory() > 0)
-			if c != newest && (older && c.phase != serving || !heads && c.phase == reading && victim.phase == idle) {
+			older := c.since.Before(victim.since) && (!heads || c.head.memory() > 0)
+			bothArrive := (c.phase == reading || c.phase == receiving) && (victim.phase == reading || victim.phase == receiving)
+			bothIdle := c.phase == idle && victim.phase == idle
+			receivingLonger := c.phase == receiving && victim.phase == idle && older
+			wrong := older && (bothArrive || bothIdle && !heads) || !heads && (c.phase == reading && victim.phase == idle || receivingLonger)
+			if c != newest && c != victim && wrong {
 				t.Fatalf("closed in phase %v since %v before one in phase %v since %v", victim.phase, victim.since, c.phase, c.since)
 			}
 		}
