Bound the bytes that arrive and are not read

An entry of 64 MB took 68.7 MB with the bytes that had arrived unread, which count towards the memory of its machine, while 150 callers sent chunks without end; the kernel's receive buffers grow to megabytes with a quick reader and stay so when it stops, and even those of the default size hold 45 MB for the 691 connections that an entry of 144 MB accepts. Ruled out: smaller buffers for all connections, which stalled later bodies of 64 KiB by 0.4 s on loopback (docs/platform.md).

The listener sets a fixed size, because bytes arrive before a connection is accepted: 64 KiB until the connections could leave a twentieth of the memory unread, 8 KiB for further ones. A connection has 256 KiB while it receives a body of more than 64 KiB and there are few. TestReceiveBuffersOfManyConnections shows the sizes; TestCrowdSendsChunksWithoutEnd passes at both paths of an entry.

--- a/internal/callers/bodies.go
+++ b/internal/callers/bodies.go
@@ -122,8 +122,17 @@
 
 // receive reads a body of the announced length; -1 means that the length is unknown.
 func (b *Body) receive(from io.Reader, length int64) *errkind.Error {
+	widened := false
+	defer func() {
+		if widened {
+			b.reader.narrow(b)
+		}
+	}()
 	for {
 		n := nextReservation(int64(len(b.Bytes)), length)
+		if !widened && int64(len(b.Bytes))+n > fullReservation {
+			widened = b.reader.widen(b)
+		}
 		if !b.reader.reserve(b, n) {
 			return errkind.New(errkind.Overloaded, "other requests take the available memory of this VM")
 		}
--- a/internal/callers/connection_limit.go
+++ b/internal/callers/connection_limit.go
@@ -14,6 +14,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.roster.bound, c.limits = bound, limits
+	c.adjustWindow()
 }
 
 // add tracks a new connection and closes one if the bound is exceeded.
@@ -22,6 +23,7 @@
 	tracked := &connection{conn: conn, phase: reading, since: time.Now()}
 	c.conns[conn] = tracked
 	c.roster.add(tracked)
+	c.adjustWindow()
 	closed := c.removeExcess(tracked)
 	c.mu.Unlock()
 	closeExcess(closed)
@@ -37,6 +39,7 @@
 func (c *Connections) forget(conn net.Conn) {
 	if tracked := c.conns[conn]; tracked != nil {
 		c.roster.remove(tracked)
+		c.adjustWindow()
 		delete(c.conns, conn)
 	}
 }
--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/clock"
@@ -63,6 +64,7 @@
 	// that some was.
 	returning int64
 	returned  *sync.Cond
+	window    window
 }
 
 // NewConnections returns a Connections that tracks no connections yet.
@@ -73,7 +75,13 @@
 }
 
 // WrapListener wraps a listener, so that the first byte of each request is noticed.
-func (c *Connections) WrapListener(l net.Listener) net.Listener { return &listener{l, c} }
+func (c *Connections) WrapListener(l net.Listener) net.Listener {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.window.listener, _ = l.(syscall.Conn)
+	c.adjustWindow()
+	return &listener{l, c}
+}
 
 type listener struct {
 	net.Listener
--- a/internal/callers/receiving_test.go
+++ b/internal/callers/receiving_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/flamingoreel/flamingoreel/internal/items"
 )
 
@@ -78,3 +80,52 @@
 		}
 	}
 }
+
+// Guards against many connections that fill the memory with bytes that nobody reads, and
+// against a smaller buffer for all.
+func TestReceiveBuffersOfManyConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	conns := NewConnections()
+	conns.Limit(Bound{UsualWindows: 2}, nil)
+	accepting := conns.WrapListener(listener)
+	open := func() (server net.Conn, size int) {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = client.Close() })
+		if server, err = accepting.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = server.Close() })
+		conns.ConnState(server, http.StateNew)
+		withDescriptor(server, func(fd int) { size, err = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return server, size
+	}
+	var opened []net.Conn
+	check := func(want int) {
+		t.Helper()
+		server, size := open()
+		opened = append(opened, server)
+		if size != 2*want {
+			t.Errorf("connection %d has a receive buffer of %d bytes, want %d", len(opened), size, 2*want)
+		}
+	}
+	for _, want := range []int{usualWindow, usualWindow, smallWindow, smallWindow} {
+		check(want)
+	}
+	for _, server := range opened[:3] {
+		conns.ConnState(server, http.StateClosed)
+	}
+	check(usualWindow)
+	if got := (Bound{}).windowSize(1000); got != 0 {
+		t.Errorf("without a bound connections have a receive buffer of %d bytes", got)
+	}
+}
--- a/internal/callers/roster.go
+++ b/internal/callers/roster.go
@@ -10,6 +10,9 @@
 	// HeadMemory is the memory in bytes for heads beyond includedHeadMemory of each
 	// connection. One head alone may take more.
 	HeadMemory int64
+	// UsualWindows is the number of connections with a receive buffer of the usual size. 0
+	// means that the kernel chooses all sizes.
+	UsualWindows int
 }
 
 const (
@@ -46,6 +49,7 @@
 	if memory > 0 {
 		b.Connections = max(int(connectionShare*float64(memory)/connectionMemory), minConnections)
 		b.HeadMemory = int64(headShare * float64(memory))
+		b.UsualWindows = max(int(windowShare*float64(memory)/usualWindow), 1)
 	}
 	if most := int(descriptorShare * float64(descriptors)); descriptors > 0 && (b.Connections == 0 || most < b.Connections) {
 		b.Connections = max(most, minConnections)
