Refuse requests without a route before their bodies arrive

A request to a path without a route was refused only once its body had arrived, up to the caller's own deadline, and took memory meanwhile: an entry of 64 MB reached 64.2 MB with unread bytes under 150 callers that sent chunks there. The route was matched in Serve, after the body was read.

BodyTimeout matches it before and returns the refusal.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -113,6 +113,9 @@
 // defaultCallerTimeout applies to callers that name no deadline.
 const defaultCallerTimeout = 30 * time.Second
 
+// maxBodyTime bounds the time in which a body arrives, unless the route's timeout is longer.
+const maxBodyTime = 30 * time.Second
+
 // EffectiveTimeout returns how long the caller waits, by default 30 s.
 func (r *Request) EffectiveTimeout() time.Duration {
 	if r.CallerTimeout <= 0 {
@@ -138,14 +141,11 @@
 		return g.refuseBeforeServing(req, errStopping())
 	}
 	if !view.Configured() {
-		return g.refuseBeforeServing(req, errkind.New(errkind.NoLease, "no configuration is known yet"))
+		return g.refuseBeforeServing(req, errNotConfigured())
 	}
 	item, ok := view.Match(req.RouteHost, req.Path)
 	if !ok {
-		if g.stale(now) {
-			return g.refuseBeforeServing(req, errkind.New(errkind.NoLease, "the route is not known and the configuration may be out of date"))
-		}
-		return g.refuseBeforeServing(req, errkind.New(errkind.UnknownRoute, "no route for %s%s", req.RouteHost, req.Path))
+		return g.refuseBeforeServing(req, g.unknownRoute(now, req))
 	}
 	a := &activeRequest{g: g, req: req, route: item.Route, name: item.Name, arrived: now, fingerprints: req.fingerprints()}
 	if failure := a.judgeCrasher(now); failure != nil {
@@ -191,6 +191,32 @@
 	return result
 }
 
+func errNotConfigured() *errkind.Error {
+	return errkind.New(errkind.NoLease, "no configuration is known yet")
+}
+
+// unknownRoute returns the error for a request without a route.
+func (g *Gateway) unknownRoute(now time.Duration, req *Request) *errkind.Error {
+	if g.stale(now) {
+		return errkind.New(errkind.NoLease, "the route is not known and the configuration may be out of date")
+	}
+	return errkind.New(errkind.UnknownRoute, "no route for %s%s", req.RouteHost, req.Path)
+}
+
+// BodyTimeout returns how long the body of a request may take to arrive, or the error of a
+// request that is refused whatever its body.
+func (g *Gateway) BodyTimeout(req *Request) (time.Duration, *errkind.Error) {
+	view := g.view.Load()
+	if !view.Configured() {
+		return 0, errNotConfigured()
+	}
+	item, ok := view.Match(req.RouteHost, req.Path)
+	if !ok {
+		return 0, g.unknownRoute(g.now(), req)
+	}
+	return min(req.EffectiveTimeout(), max(item.Route.Timeout, maxBodyTime)), nil
+}
+
 // pickService chooses the service of a request by the route's weights. It adds the
 // request's share of a retry to the service's retry budget.
 func (g *Gateway) pickService(item items.Item) string {
