Serve all addresses of the roles with one server

Callers with slow bodies made the control address serve nothing: no call was answered within 20 s beside 600 of them, and those that sent chunks without end left 82.5 MB of a control VM of 64 MB taken, 59 of them unread. net/http reads up to 256 KiB of a body that its handler left before it answers, without a time limit, and the connection counts as served meanwhile. Ruled out: a read timeout of that server, which bounds whole requests and so ends long ones of slow operators as well.

The control, readiness and metrics addresses use callers.Server, as the callers' one does: it answers at once and closes.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"net/http"
 	"os"
-	"runtime/debug"
 	"strings"
 	"time"
 
@@ -51,15 +48,6 @@
 	// controlStopTimeout bounds the time in which a stopping control VM completes its
 	// open calls.
 	controlStopTimeout = 300 * time.Millisecond
-	// idleTimeout is how long a connection to the control, readiness or metrics
-	// address may stay idle.
-	idleTimeout = 75 * time.Second
-	// responseTimeout bounds the time in which a response is written. Callers wait for
-	// 12 s at most.
-	responseTimeout = 2 * time.Minute
-	// softMemoryFraction is the fraction of the memory limit that the Go runtime gets
-	// as its soft limit: the garbage collector runs more often as memory use nears it.
-	softMemoryFraction = 0.6
 	// relayMemoryFraction is the fraction of the memory limit that requests served
 	// for other entry VMs may take.
 	relayMemoryFraction = 0.1
@@ -101,12 +89,9 @@
 	// modified is when the file of the settings was last modified before it was read.
 	modified time.Time
 	logs     *logs.Handler
-	logger   *log.Logger
-	registry *prometheus.Registry
+	listeners
 	// slowStart is gateway.Config.SlowStart.
 	slowStart bool
-	// serverErrors receives the errors of servers that failed.
-	serverErrors chan error
 	// reloads receives requests to reload the settings.
 	reloads chan struct{}
 }
@@ -125,15 +110,12 @@
 	handler := logs.New(os.Stdout)
 	p := &process{
 		path: path, settings: settings, modified: modified, logs: handler,
-		logger: &log.Logger{Handler: handler, Level: level}, registry: prometheus.NewRegistry(), serverErrors: make(chan error, 4),
-		reloads: make(chan struct{}, 1), slowStart: c.Bool("slow-start"),
+		listeners: newListeners(settings.MemoryBytes, &log.Logger{Handler: handler, Level: level}, prometheus.NewRegistry()),
+		reloads:   make(chan struct{}, 1), slowStart: c.Bool("slow-start"),
 	}
 	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "flamingoreel_log_lines_dropped_total", Help: "Log lines dropped to stay within the permitted volume.",
 	}, func() float64 { return float64(handler.Dropped()) }))
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(softMemoryFraction * float64(settings.MemoryBytes)))
-	}
 	return p, nil
 }
 
@@ -155,62 +137,16 @@
 	return err
 }
 
-// httpServer is an *http.Server or, for callers, a *callers.Server.
-type httpServer interface {
-	Serve(net.Listener) error
-	SetKeepAlivesEnabled(bool)
-	Shutdown(context.Context) error
-	Close() error
-}
-
-// listen serves a handler on an address until the process ends. name is that of the
-// listener in metrics; ctx ends the log lines about its connections.
-func (p *process) listen(ctx context.Context, name, addr string, handler http.Handler) (httpServer, error) {
-	connected := callers.NewConnections()
-	server := &http.Server{
-		Handler: trackRequests(connected, handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxOperatorHeadBytes,
-		ConnState: connected.ConnState, ConnContext: connected.ConnContext,
-	}
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	p.limitConnections(ctx, name, connected, operatorLimits)
-	p.serve(connected.WrapListener(listener), server)
-	return server, nil
-}
-
 // listenCallers serves callers on an address within the limits of the configuration.
-func (p *process) listenCallers(ctx context.Context, addr string, ingress *platform.Ingress) (httpServer, error) {
-	server := callers.NewServer(callers.ServerConfig{
+func (p *process) listenCallers(ctx context.Context, addr string, ingress *platform.Ingress) (*callers.Server, error) {
+	return p.serve(ctx, callerListener, addr, callers.ServerConfig{
 		Handler: ingress, Connections: ingress.Connections, Limits: ingress.Gateway.Limits, Stopping: ingress.Stopping.Load,
-		WriteTimeout: responseTimeout, MemoryBytes: p.settings.MemoryBytes, Logger: p.logger,
 	})
-	if p.registry != nil {
-		p.registry.MustRegister(server.Collectors()...)
-	}
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	p.limitConnections(ctx, callerListener, ingress.Connections, ingress.Gateway.Limits)
-	go ingress.Connections.Sweep(ctx, ingress.Gateway.Limits)
-	p.serve(listener, server)
-	return server, nil
 }
 
-// serve runs a server in the background until it is shut down; its failure ends
-// the process.
-func (p *process) serve(listener net.Listener, server httpServer) {
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			p.serverErrors <- err
-		}
-	}()
-}
-
-func (p *process) listenMetrics(ctx context.Context) (httpServer, error) {
-	return p.listen(ctx, metricsListener, p.settings.MetricsAddr, promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+func (p *process) listenMetrics(ctx context.Context) (*callers.Server, error) {
+	handler := promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{})
+	return p.serveOperators(ctx, metricsListener, p.settings.MetricsAddr, handler, callers.NewConnections())
 }
 
 // wait returns when the process is asked to stop or a server failed. Until then
@@ -220,7 +156,7 @@
 	select {
 	case <-ctx.Done():
 		return nil
-	case err := <-p.serverErrors:
+	case err := <-p.failures:
 		return err
 	}
 }
@@ -238,14 +174,13 @@
 	}
 	defer g.Close()
 	connected := callers.NewConnections()
-	ingress := &platform.Ingress{
-		Gateway: g, Connections: connected, Bodies: callers.NewBodyReader(callers.NewMemory(s.MemoryBytes), connected), IdleTime: callerIdleTime,
-	}
+	ingress := &platform.Ingress{Gateway: g, Connections: connected, Bodies: p.bodies(connected), IdleTime: callerIdleTime}
 	server, err := p.listenCallers(ctx, s.CallerAddr, ingress)
 	if err != nil {
 		return err
 	}
-	ready, err := p.listen(ctx, readyListener, s.ReadyAddr, platform.ReadyHandler(func() bool { return g.Accepting() && !ingress.Stopping.Load() }))
+	isReady := platform.ReadyHandler(func() bool { return g.Accepting() && !ingress.Stopping.Load() })
+	ready, err := p.serveOperators(ctx, readyListener, s.ReadyAddr, isReady, callers.NewConnections())
 	if err != nil {
 		return err
 	}
@@ -271,7 +206,7 @@
 // wait to be accepted, and while requests of other entry VMs are in progress.
 // Requests received from now on are refused, and all others get their final response
 // shortly before the limit.
-func drainCallers(g *gateway.Gateway, server httpServer, connected *callers.Connections, limit time.Duration) error {
+func drainCallers(g *gateway.Gateway, server *callers.Server, connected *callers.Connections, limit time.Duration) error {
 	end := time.Now().Add(limit)
 	g.RefuseNew()
 	server.SetKeepAlivesEnabled(false)
@@ -306,7 +241,9 @@
 		return cli.Exit(err, exitSettings)
 	}
 	defer c.Close()
-	calls, err := p.listen(ctx, controlListener, s.ControlAddr, &platform.Calls{Control: c, Logger: p.logger})
+	connected := callers.NewConnections()
+	handler := &platform.Calls{Control: c, Logger: p.logger}
+	calls, err := p.serveOperators(ctx, controlListener, s.ControlAddr, handler, connected)
 	if err != nil {
 		return err
 	}
--- a/cmd/flamingoreeld/run.go
+++ b/cmd/flamingoreeld/run.go
@@ -20,9 +20,6 @@
 	"github.com/flamingoreel/flamingoreel/internal/vm"
 )
 
-// headerTimeout bounds how long a caller may take to send its headers.
-const headerTimeout = 10 * time.Second
-
 // run starts the VM and serves until SIGINT or SIGTERM.
 func run(received *signals.Handler, s settings) error {
 	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: s.logLevel}
--- a/cmd/flamingoreeld/sockets_test.go
+++ b/cmd/flamingoreeld/sockets_test.go
@@ -192,13 +192,13 @@
 // keep-alive probes: requests in flight to a target that is only silent would be
 // given up early.
 func TestSocketOptions(t *testing.T) {
-	p := &process{logger: &log.Logger{Handler: discard.New()}, serverErrors: make(chan error, 4)}
+	p := &process{listeners: newListeners(0, &log.Logger{Handler: discard.New()}, nil)}
 	got := make(map[string]socketOptions)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 
 	control := fmt.Sprintf("127.0.0.1:%d", freePort(t))
-	server, err := p.listen(ctx, controlListener, control, http.NotFoundHandler())
+	server, err := p.serveOperators(ctx, controlListener, control, http.NotFoundHandler(), callers.NewConnections())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -178,14 +178,25 @@
 	return time.Since(c.idleSince)
 }
 
-// sweepInterval is the interval at which connections are checked, and so the time
-// by which a connection may exceed a limit.
-const sweepInterval = 250 * time.Millisecond
+const (
+	// minSweepInterval and maxSweepInterval bound the interval at which connections are
+	// checked, and so the time by which a connection may exceed a limit.
+	minSweepInterval = 250 * time.Millisecond
+	maxSweepInterval = time.Second
+	// sweepFraction is the interval as a fraction of the shortest time limit.
+	sweepFraction = 1.0 / 16
+)
+
+// sweepInterval returns the interval at which connections are checked against limits.
+func sweepInterval(l Limits) time.Duration {
+	interval := time.Duration(sweepFraction * float64(min(l.HeadTimeout, l.IdleTimeout)))
+	return min(max(interval, minSweepInterval), maxSweepInterval)
+}
 
 // Sweep closes connections that exceed the limits, until ctx ends. If the head
 // of a request is late, it first sends timeoutResponse.
 func (c *Connections) Sweep(ctx context.Context, limits func() Limits) {
-	for clock.Sleep(ctx, sweepInterval) {
+	for clock.Sleep(ctx, sweepInterval(limits())) {
 		lateConns, idleConns := c.removeExpired(limits(), time.Now())
 		for _, conn := range lateConns {
 			// Nothing was written on the connection for this request, so the response
--- a/internal/callers/response.go
+++ b/internal/callers/response.go
@@ -22,6 +22,8 @@
 	// joinBytes that up to which a part of a body is joined with them.
 	flushBytes = 4 << 10
 	joinBytes  = 32 << 10
+	// partBytes is the size of the parts for each of which WriteTimeout holds.
+	partBytes = 64 << 10
 )
 
 // errEnded is the error of a write to a response whose connection has ended.
@@ -46,15 +48,18 @@
 	buf                            []byte
 	// inTurn is true once the response may be written to the connection.
 	inTurn bool
-	// timeout is the time for writing from when the turn comes; 0 means no limit.
+	// timeout is the time for writing from when the turn comes, if the handler has set a
+	// deadline before; 0 means no limit.
 	timeout time.Duration
-	err     error
+	// deadlineSet is true once the handler has set a deadline for writing.
+	deadlineSet bool
+	err         error
 	// broken is true if a write to the connection has failed.
 	broken bool
 }
 
 func newResponse(e *exchange) *response {
-	w := &response{e: e, header: make(http.Header), length: -1, timeout: e.conn.server.cfg.WriteTimeout}
+	w := &response{e: e, header: make(http.Header), length: -1}
 	if e.body != nil && hasToken(e.req.Header.Get("Expect"), "100-continue") && e.req.ProtoAtLeast(1, 1) {
 		e.body.onFirstRead = w.sendContinue
 	}
@@ -181,12 +186,16 @@
 }
 
 func (w *response) send(p []byte) {
-	if w.err != nil || len(p) == 0 {
-		return
-	}
-	if _, err := w.e.conn.rwc.Write(p); err != nil {
-		w.err, w.broken = err, true
-		w.e.conn.end()
+	for w.err == nil && len(p) > 0 {
+		part := p[:min(len(p), partBytes)]
+		if limit := w.e.conn.server.cfg.WriteTimeout; limit > 0 && !w.deadlineSet {
+			_ = w.e.conn.rwc.SetWriteDeadline(time.Now().Add(limit))
+		}
+		if _, err := w.e.conn.rwc.Write(part); err != nil {
+			w.err, w.broken = err, true
+			w.e.conn.end()
+		}
+		p = p[len(part):]
 	}
 }
 
@@ -356,6 +365,7 @@
 // SetWriteDeadline sets the deadline for writing the response. Before the response's
 // turn, it sets the time that remains from then on.
 func (w *response) SetWriteDeadline(t time.Time) error {
+	w.deadlineSet = true
 	if w.inTurn || w.tryTurn() {
 		return w.e.conn.rwc.SetWriteDeadline(t)
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -23,8 +23,8 @@
 	// Stopping reports that the process is about to stop: a connection then closes
 	// after the last request that was read. Nil means never.
 	Stopping func() bool
-	// WriteTimeout bounds the time in which a response is written, unless its handler
-	// sets another deadline; 0 means no limit.
+	// WriteTimeout bounds the time in which each part of a response is written, unless its
+	// handler sets a deadline; 0 means no limit.
 	WriteTimeout time.Duration
 	// MemoryBytes is the memory of the VM, of which requests that are read ahead may
 	// take readAheadMemoryFraction; 0 means no limit.
