Bound the bodies of calls and what they are decoded to

A control VM of 64 MB took 71 to 136 MB while 150 callers sent bodies of 1 MB that stopped short, 852 MB when they sent 4 MB each, and 84 MB when 40 of them sent changes of many short items. With 600 connections it had taken 3.4 GB. Each body was read whole, up to 8 MB and without a time limit, and neither these bytes nor what they are decoded to were counted together. Heartbeats, which have a few hundred bytes, had the limit of changes.

Calls read their bodies as entries do, within the memory that all requests of the process share and in 10 s, and reserve an estimate of what decoding takes before they decode. Heartbeats and all other calls but changes are bounded to 64 KiB; responses to heartbeats are bounded to 4 KiB, so their rows are too. Beyond a limit the status is 413, which ends a call, or 503 where another try may succeed. Calls that aren't known are refused before their body.

--- a/cmd/flamingoreeld/roles.go
+++ b/cmd/flamingoreeld/roles.go
@@ -242,7 +242,7 @@
 	}
 	defer c.Close()
 	connected := callers.NewConnections()
-	handler := &platform.Calls{Control: c, Logger: p.logger}
+	handler := &platform.Calls{Control: c, Bodies: p.bodies(connected), Logger: p.logger}
 	calls, err := p.serveOperators(ctx, controlListener, s.ControlAddr, handler, connected)
 	if err != nil {
 		return err
