Leave more of the memory free for unread bytes and the collector

The soft limit of the Go runtime is half of the memory instead of 0.6, and the number of connections with the usual receive buffer is half as large. Ruled out: counting the old buffer while a body grows, because a chunked body of the largest size would no longer fit into a VM of 184 MB.

--- a/cmd/flamingoreeld/bounds.go
+++ b/cmd/flamingoreeld/bounds.go
@@ -26,7 +26,7 @@
 	writeTimeout = 10 * time.Second
 	// softMemoryFraction is the fraction of the VM's memory that the Go runtime gets
 	// as its soft limit: the garbage collector runs more often as memory use nears it.
-	softMemoryFraction = 0.6
+	softMemoryFraction = 0.5
 	// maxOperatorHeadBytes limits the heads at the control, readiness and metrics
 	// addresses. Those of the platform's calls and checks have a few hundred bytes.
 	maxOperatorHeadBytes = 16 << 10
--- a/internal/callers/roster.go
+++ b/internal/callers/roster.go
@@ -49,7 +49,7 @@
 	if memory > 0 {
 		b.Connections = max(int(connectionShare*float64(memory)/connectionMemory), minConnections)
 		b.HeadMemory = int64(headShare * float64(memory))
-		b.UsualWindows = max(int(windowShare*float64(memory)/usualWindow), 1)
+		b.UsualWindows = max(int(windowShare*float64(memory)/(2*usualWindow)), 1)
 	}
 	if most := int(descriptorShare * float64(descriptors)); descriptors > 0 && (b.Connections == 0 || most < b.Connections) {
 		b.Connections = max(most, minConnections)
--- a/internal/callers/window.go
+++ b/internal/callers/window.go
@@ -6,8 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Receive buffers of connections, in bytes; the kernel doubles them. They bound what a client
-// can send to a process that doesn't read: it counts towards the memory of the VM.
+// Receive buffers of connections, in bytes; the kernel doubles them. Twice the size bounds what
+// a client can send to a process that doesn't read: it counts towards the memory of the VM.
 const (
 	// usualWindow is the receive buffer of a connection. It is the kernel's default size.
 	usualWindow = 64 << 10
