Hold a VM that serves callers itself to the limits of the roles

A VM of the other way of running had no bounds: 150 bodies of 1 MB that stop short took 194 MB of 64, heads of many short fields up to 221 MB, 600 connections all 512 descriptors, and bodies that arrive slowly left no request served within 20 s. Its two addresses were plain servers of net/http with a limit on the time of heads only, and each body was read whole before anything was counted.

Both addresses use the listeners of the roles. Bodies of callers, announcements (64 KiB) and changes of the configuration (1 MiB) share one memory. Where a body was not received, a refusal says that earlier requests with the same key may have run, because no record can be looked up without it.

Ruled out: a limit on the number of requests in progress, which would refuse ordinary callers first.

--- a/cmd/flamingoreeld/run.go
+++ b/cmd/flamingoreeld/run.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -16,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/flamingoreel/flamingoreel/internal/admin"
+	"github.com/flamingoreel/flamingoreel/internal/callers"
 	"github.com/flamingoreel/flamingoreel/internal/signals"
 	"github.com/flamingoreel/flamingoreel/internal/vm"
 )
@@ -26,6 +24,8 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	received.Handle(logger, nil)
+	addresses := newListeners(s.memoryBytes, logger, registry)
+	connected := callers.NewConnections()
 
 	dataDir := ""
 	if slices.Contains(s.voters, s.name) {
@@ -36,8 +36,8 @@
 		LinkAddr: s.linkAddr, CallerAddr: s.callerAddr, Peers: s.peers,
 		Voters: s.voters, DataDir: dataDir, Bootstrap: s.bootstrap,
 		Incarnation: uint64(time.Now().UnixNano()), Seed: uint64(time.Now().UnixNano()),
-		MaxRecordBytes: s.recordBytes,
-		Logger:         logger, Registry: registry,
+		MaxRecordBytes: s.recordBytes, Bodies: addresses.bodies(connected),
+		Logger: logger, Registry: registry,
 	})
 	if err != nil {
 		// An error of vm.New counts as one in the settings, which name the
@@ -45,45 +45,35 @@
 		return cli.Exit(err, exitSettings)
 	}
 	defer node.Close()
-	callers := &http.Server{Handler: node.Entry().Handler(), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: admin.Handler(node, registry), ReadHeaderTimeout: headerTimeout}
-	serverErrors := make(chan error, 2)
-	if err := serve(callers, s.callerAddr, serverErrors); err != nil {
+	server, err := addresses.serve(received.Context(), callerListener, s.callerAddr, callers.ServerConfig{
+		Handler: node.Entry().Handler(), Connections: connected, Limits: func() callers.Limits { return callers.LimitsOf(nil) },
+		Stopping: node.Stopping,
+	})
+	if err != nil {
 		return err
 	}
-	if err := serve(operators, s.adminAddr, serverErrors); err != nil {
+	connectedOperators := callers.NewConnections()
+	operatorHandler := admin.Handler(node, registry, addresses.bodies(connectedOperators))
+	operators, err := addresses.serveOperators(received.Context(), adminListener, s.adminAddr, operatorHandler, connectedOperators)
+	if err != nil {
 		return err
 	}
 	logger.WithFields(log.Fields{"vm": s.name, "region": s.region, "data_centre": s.dataCentre, "callers": s.callerAddr}).Info("started")
 	select {
-	case err := <-serverErrors:
+	case err := <-addresses.failures:
 		return err
 	case <-received.Context().Done():
 	}
-	drain(node, callers, s.drainTimeout)
+	drain(node, server, s.drainTimeout)
 	logger.WithField("vm", s.name).Info("stopped")
 	return operators.Close()
 }
 
-// serve runs a server in the background and sends its failure to serverErrors.
-func serve(server *http.Server, addr string, serverErrors chan<- error) error {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return err
-	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			serverErrors <- err
-		}
-	}()
-	return nil
-}
-
 // drain stops the VM gracefully within a time limit: other VMs take over its
 // contracts and requests in flight end before the callers' listener closes.
-func drain(node *vm.VM, callers *http.Server, limit time.Duration) {
+func drain(node *vm.VM, server *callers.Server, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	node.Drain(ctx)
-	_ = callers.Shutdown(ctx)
+	_ = server.Shutdown(ctx)
 }
--- a/cmd/flamingoreeld/settings.go
+++ b/cmd/flamingoreeld/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sys/unix"
 
 	"github.com/flamingoreel/flamingoreel/internal/signals"
 )
@@ -47,6 +48,7 @@
 	dataDir                           string
 	bootstrap                         bool
 	recordBytes                       int
+	memoryBytes                       int64
 	logLevel                          log.Level
 	drainTimeout                      time.Duration
 }
@@ -81,6 +83,7 @@
 			stringFlag("data-dir", "", "data directory; required on a voter"),
 			&cli.BoolFlag{Name: "bootstrap", Usage: "create a new control log if no voter has one", Sources: env("bootstrap")},
 			&cli.IntFlag{Name: "record-memory", Value: 256, Usage: "memory limit for request records in MiB", Sources: env("record-memory")},
+			&cli.IntFlag{Name: "memory", Usage: "memory of this VM in MiB, from which the limits for clients follow; 0 means that of the machine", Sources: env("memory")},
 			stringFlag("log-level", "info", "debug, info, warn or error"),
 			&cli.DurationFlag{Name: "drain-timeout", Value: 10 * time.Second, Usage: "time limit of a graceful shutdown", Sources: env("drain-timeout")},
 		},
@@ -139,12 +142,27 @@
 	if n := c.Int("record-memory"); n < 1 || n > 1<<20 {
 		addFault("--record-memory must be from 1 to %d", 1<<20)
 	}
+	if s.memoryBytes = int64(c.Int("memory")) << 20; s.memoryBytes == 0 {
+		s.memoryBytes = machineMemory()
+	}
+	if n := c.Int("memory"); n < 0 || n > 1<<30 {
+		addFault("--memory must be from 0 to %d", 1<<30)
+	}
 	if s.drainTimeout <= 0 {
 		addFault("--drain-timeout must be positive")
 	}
 	return s, faults
 }
 
+// machineMemory returns the memory of the machine in bytes, or 0 if it is not known.
+func machineMemory() int64 {
+	var info unix.Sysinfo_t
+	if unix.Sysinfo(&info) != nil {
+		return 0
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
 // checkAddr returns an error unless addr is IP:port. Host names are refused because
 // processes connect to each other by IP address.
 func checkAddr(addr string) error {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,13 +4,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/flamingoreel/flamingoreel/internal/callers"
 	"github.com/flamingoreel/flamingoreel/internal/configtext"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
@@ -51,11 +54,23 @@
 	Faults []configtext.Fault `json:"faults"`
 }
 
-type server struct{ node Node }
+type server struct {
+	node   Node
+	bodies *callers.BodyReader
+}
+
+const (
+	// maxChangeBytes bounds the body of a change of the configuration. The text of a
+	// deployment with thousands of tenants is smaller.
+	maxChangeBytes = 1 << 20
+	// changeTimeout bounds the time in which it is received.
+	changeTimeout = 10 * time.Second
+)
 
-// Handler returns the HTTP handler of the admin address.
-func Handler(node Node, gatherer prometheus.Gatherer) http.Handler {
-	s := &server{node: node}
+// Handler returns the HTTP handler of the admin address. bodies reads the bodies of its
+// requests.
+func Handler(node Node, gatherer prometheus.Gatherer, bodies *callers.BodyReader) http.Handler {
+	s := &server{node: node, bodies: bodies}
 	e := echo.New()
 	e.HideBanner = true
 	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
@@ -85,8 +100,15 @@
 }
 
 func (s *server) putConfig(c echo.Context) error {
+	limits := callers.LimitsOf(nil)
+	limits.BodyBytes = maxChangeBytes
+	body, failure := s.bodies.Read(c.Response(), c.Request(), limits, changeTimeout)
+	if failure != nil {
+		return writeError(c, failure)
+	}
+	defer body.Release()
 	var change ConfigChange
-	if err := c.Bind(&change); err != nil {
+	if err := json.Unmarshal(body.Bytes, &change); err != nil {
 		return writeError(c, errkind.New(errkind.BadRequest, "the change is not valid JSON"))
 	}
 	result, faults, err := s.node.ChangeConfig(c.Request().Context(), change.Base, []byte(change.Text))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"io"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/flamingoreel/flamingoreel/internal/callers"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/errkind"
 	"github.com/flamingoreel/flamingoreel/internal/record"
@@ -45,7 +46,9 @@
 	Router     Router
 	Records    *record.Coordinator
 	// Now is the monotonic time since the process started.
-	Now      func() time.Duration
+	Now func() time.Duration
+	// Bodies reads the bodies of requests; nil means without a limit on their memory.
+	Bodies   *callers.BodyReader
 	Seed     uint64
 	Logger   log.Interface
 	Registry prometheus.Registerer
@@ -63,6 +66,9 @@
 
 // New returns an entry. The caller serves its Handler.
 func New(cfg Config) *Entry {
+	if cfg.Bodies == nil {
+		cfg.Bodies = callers.NewBodies(0)
+	}
 	e := &Entry{
 		cfg:       cfg,
 		echo:      echo.New(),
@@ -82,8 +88,13 @@
 
 // announce handles the announcement of a target.
 func (e *Entry) announce(c echo.Context) error {
+	body, failure := e.readBody(c, maxAnnouncementBytes, announceTimeout)
+	if failure != nil {
+		return writeError(c, failure)
+	}
+	defer body.Release()
 	var a target.Announcement
-	if err := c.Bind(&a); err != nil {
+	if err := json.Unmarshal(body.Bytes, &a); err != nil {
 		return writeError(c, errkind.New(errkind.BadRequest, "the announcement is not valid JSON"))
 	}
 	if err := e.cfg.Router.Announce(a); err != nil {
@@ -118,10 +129,14 @@
 		return req, nil, err
 	}
 	limits := table.Text().Limits
-	if req.Body, err = readBody(c.Request(), limits.MaxBodyBytes); err != nil {
-		return req, nil, err
+	timeout := requestTimeout(c.Request(), limits.DefaultDeadline)
+	body, err := e.readBody(c, limits.MaxBodyBytes, timeout)
+	if err != nil {
+		return req, nil, refuseUnread(req, err)
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), requestTimeout(c.Request(), limits.DefaultDeadline))
+	defer body.Release()
+	req.Body = body.Bytes
+	ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
 	defer cancel()
 	reply, err := e.route(ctx, req)
 	if err == nil {
@@ -255,15 +270,33 @@
 	return out
 }
 
-func readBody(r *http.Request, limit int) ([]byte, *errkind.Error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "the body could not be read")
-	}
-	if len(body) > limit {
+const (
+	// maxAnnouncementBytes bounds the announcement of a target, which has a few hundred
+	// bytes.
+	maxAnnouncementBytes = 64 << 10
+	// announceTimeout bounds the time in which it is received.
+	announceTimeout = 10 * time.Second
+)
+
+// readBody reads the body of a request within a limit in bytes and a timeout. The body must
+// be released.
+func (e *Entry) readBody(c echo.Context, limit int, timeout time.Duration) (*callers.Body, *errkind.Error) {
+	limits := callers.LimitsOf(nil)
+	limits.BodyBytes = int64(limit)
+	body, err := e.cfg.Bodies.Read(c.Response(), c.Request(), limits, timeout)
+	if err != nil && err.Kind == errkind.BodyTooLarge {
 		return nil, errkind.New(errkind.BadRequest, "the body is larger than %d bytes", limit)
 	}
-	return body, nil
+	return body, err
+}
+
+// refuseUnread returns the error for a request whose body was not received. Without the body
+// no record can be looked up.
+func refuseUnread(req *relay.Request, err *errkind.Error) *errkind.Error {
+	if err.Kind == errkind.BadRequest {
+		return err
+	}
+	return refuseUnchecked(req, err)
 }
 
 // requestTimeout returns the time that the caller allows for the request, at most
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/flamingoreel/flamingoreel/internal/admission"
+	"github.com/flamingoreel/flamingoreel/internal/callers"
 	"github.com/flamingoreel/flamingoreel/internal/clock"
 	"github.com/flamingoreel/flamingoreel/internal/control"
 	"github.com/flamingoreel/flamingoreel/internal/dispatcher"
@@ -46,6 +47,8 @@
 	Seed        uint64
 	// MaxRecordBytes bounds the memory for request records.
 	MaxRecordBytes int
+	// Bodies reads the bodies of callers' requests; nil means without a limit on their memory.
+	Bodies *callers.BodyReader
 
 	// Listener, DialLink and DialTarget replace TCP when they are not nil.
 	Listener   net.Listener
@@ -129,7 +132,7 @@
 	})
 	v.entry = entry.New(entry.Config{
 		Region: v.cfg.Region, DataCentre: v.cfg.DataCentre, Router: v, Records: v.records, Now: v.now,
-		Seed: v.cfg.Seed, Logger: v.cfg.Logger, Registry: v.cfg.Registry,
+		Bodies: v.cfg.Bodies, Seed: v.cfg.Seed, Logger: v.cfg.Logger, Registry: v.cfg.Registry,
 	})
 }
 
