Bound what a configuration text takes when it is parsed

The tree that the parser builds takes several hundred bytes for each token, and the body counted with its bytes only.

A change reserves 600 bytes for each separator of its text in the memory of all requests before the text is parsed, and is refused with overloaded beyond it.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -111,6 +112,9 @@
 	if err := json.Unmarshal(body.Bytes, &change); err != nil {
 		return writeError(c, errkind.New(errkind.BadRequest, "the change is not valid JSON"))
 	}
+	if !body.Reserve(parsedBytes(change.Text)) {
+		return writeError(c, errkind.New(errkind.Overloaded, "the memory of this VM does not suffice to check a text with so many values"))
+	}
 	result, faults, err := s.node.ChangeConfig(c.Request().Context(), change.Base, []byte(change.Text))
 	switch {
 	case len(faults) > 0:
@@ -123,6 +127,18 @@
 	return c.JSON(http.StatusOK, ChangeView{Accepted: true, Number: result.Number})
 }
 
+// memoryPerToken is the estimated memory in bytes of a token of a text and of its nodes.
+const memoryPerToken = 600
+
+// parsedBytes estimates the memory that is needed to check a text.
+func parsedBytes(text string) int64 {
+	tokens := 0
+	for _, separator := range []string{"\n", ":", ",", "- "} {
+		tokens += strings.Count(text, separator)
+	}
+	return int64(len(text)) + int64(tokens)*memoryPerToken
+}
+
 func (s *server) status(c echo.Context) error {
 	status, err := s.node.Status(c.Request().Context())
 	if err != nil {
