Bound the responses that wait for clients that don't read

Clients that send many requests ahead and read no response had them served until the kernel's send buffers of up to 4 MB were full, on each connection: targets ran thousands of requests for nobody, and others waited.

The listener sets fixed send buffers as it does for received bytes: 256 KiB, and 64 KiB for new connections while there are many. TestBuffersOfManyConnections, which was TestReceiveBuffersOfManyConnections, checks both sizes. Ruled out: fewer requests ahead on each connection, which slows callers that read.

--- a/internal/callers/receiving_test.go
+++ b/internal/callers/receiving_test.go
@@ -82,8 +82,8 @@
 }
 
 // Guards against many connections that fill the memory with bytes that nobody reads, and
-// against a smaller buffer for all.
-func TestReceiveBuffersOfManyConnections(t *testing.T) {
+// against smaller buffers for all.
+func TestBuffersOfManyConnections(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -92,7 +92,7 @@
 	conns := NewConnections()
 	conns.Limit(Bound{UsualWindows: 2}, nil)
 	accepting := conns.WrapListener(listener)
-	open := func() (server net.Conn, size int) {
+	open := func() (server net.Conn, receive, send int) {
 		client, err := net.Dial("tcp", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -103,28 +103,29 @@
 		}
 		t.Cleanup(func() { _ = server.Close() })
 		conns.ConnState(server, http.StateNew)
-		withDescriptor(server, func(fd int) { size, err = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF) })
-		if err != nil {
-			t.Fatal(err)
-		}
-		return server, size
+		withDescriptor(server, func(fd int) {
+			receive, _ = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF)
+			send, _ = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF)
+		})
+		return server, receive, send
 	}
 	var opened []net.Conn
-	check := func(want int) {
+	check := func(receive, send int) {
 		t.Helper()
-		server, size := open()
+		server, gotReceive, gotSend := open()
 		opened = append(opened, server)
-		if size != 2*want {
-			t.Errorf("connection %d has a receive buffer of %d bytes, want %d", len(opened), size, 2*want)
+		if gotReceive != 2*receive || gotSend != 2*send {
+			t.Errorf("connection %d has buffers of %d and %d bytes, want %d and %d", len(opened), gotReceive, gotSend, 2*receive, 2*send)
 		}
 	}
-	for _, want := range []int{usualWindow, usualWindow, smallWindow, smallWindow} {
-		check(want)
-	}
+	check(usualWindow, usualSendBuffer)
+	check(usualWindow, usualSendBuffer)
+	check(smallWindow, smallSendBuffer)
+	check(smallWindow, smallSendBuffer)
 	for _, server := range opened[:3] {
 		conns.ConnState(server, http.StateClosed)
 	}
-	check(usualWindow)
+	check(usualWindow, usualSendBuffer)
 	if got := (Bound{}).windowSize(1000); got != 0 {
 		t.Errorf("without a bound connections have a receive buffer of %d bytes", got)
 	}
--- a/internal/callers/window.go
+++ b/internal/callers/window.go
@@ -6,25 +6,30 @@
 	"golang.org/x/sys/unix"
 )
 
-// Receive buffers of connections, in bytes; the kernel doubles them. Twice the size bounds what
-// a client can send to a process that doesn't read: it counts towards the memory of the VM.
+// Buffers of connections, in bytes; the kernel doubles them. Twice the size of the receive buffer
+// bounds what a client can send to a process that doesn't read: it counts towards the memory of
+// the VM.
 const (
 	// usualWindow is the receive buffer of a connection. It is the kernel's default size.
 	usualWindow = 64 << 10
 	// smallWindow is that of a new connection while there are many.
 	smallWindow = 8 << 10
-	// bodyWindow is that of a connection while it receives a body beyond fullReservation.
+	// usualSendBuffer and smallSendBuffer are the send buffers in both cases. They bound how many
+	// requests are served for a client that sends ahead and reads no response.
+	usualSendBuffer = 256 << 10
+	smallSendBuffer = 64 << 10
+	// bodyWindow is the receive buffer of a connection while it receives a body beyond fullReservation.
 	bodyWindow = 256 << 10
 	// windowShare is the fraction of a VM's memory that connections with the usual buffer may
 	// leave unread.
 	windowShare = 0.05
 )
 
-// window sets the receive buffer of new connections through their listener, from which they
-// inherit it: it must hold for what arrives before a connection is accepted.
+// window sets the buffers of new connections through their listener, from which they inherit
+// them: they must hold for what arrives before a connection is accepted.
 type window struct {
 	listener syscall.Conn
-	// size is the buffer that was set last; 0 for the kernel's own.
+	// size is the receive buffer that was set last; 0 for the kernel's own.
 	size int
 }
 
@@ -40,7 +45,7 @@
 	return smallWindow
 }
 
-// adjustWindow sets the receive buffer for the next connection. c.mu is held.
+// adjustWindow sets the buffers for the next connection. c.mu is held.
 func (c *Connections) adjustWindow() {
 	size := c.roster.bound.windowSize(c.roster.count)
 	if size == c.window.size || c.window.listener == nil {
@@ -51,7 +56,15 @@
 		return // closed
 	}
 	c.window.size = size
-	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+	sendBuffer := usualSendBuffer
+	if size == smallWindow {
+		sendBuffer = smallSendBuffer
+	}
+	_ = raw.Control(func(fd uintptr) {
+		// A failure leaves a buffer as it is.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+	})
 }
 
 // widen sets the receive buffer of the connection of a body that is long, unless there are many
