--- a/internal/callers/bodies.go
+++ b/internal/callers/bodies.go
@@ -117,7 +117,7 @@
 
 // errReplaced is the failure of a body that was refused because of later requests.
 func errReplaced() *errkind.Error {
-	return errkind.New(errkind.Overloaded, "the body arrives slowly, and later requests need the memory of this VM")
+	return errkind.New(errkind.Overloaded, "the body arrives slowly, and later requests need its memory or its connection")
 }
 
 // receive reads a body of the announced length; -1 means that the length is unknown.
