Give connections their full buffers once they are accepted

A crowd of 600 that does all of what the other crowds do at once took a VM and a control VM of 64 MB to 81 to 90.5 MB with unread bytes, 55 to 62 of them resident, in 3 of 4 runs of TestCrowdDoesAllAtOnce. While few connections were accepted, the listener had the usual receive buffer, and hundreds that waited to be accepted inherited it: 128 KiB each. Ruled out: fewer connections with the larger buffer of long bodies, with which 2 of 3 runs still failed, and a shorter queue of the listener, whose overflow costs callers a second.

The listener has the small buffers, and an accepted connection gets the usual ones while there are few. The kernel keeps the window of the listener's buffer otherwise, so the window is set with them. In 3 runs all 15 paths pass, at most 60.0 MB.

--- a/cmd/flamingoreeld/crowd_shapes_test.go
+++ b/cmd/flamingoreeld/crowd_shapes_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -214,3 +215,32 @@
 		return decoding
 	})
 }
+
+// Guards against the sum of what the other crowds take, each of which is within its own bound.
+func TestCrowdDoesAllAtOnce(t *testing.T) {
+	var lines strings.Builder
+	for n := 0; lines.Len() < unboundedHeadBytes; n++ {
+		lines.WriteString(shortLines(n))
+	}
+	chunks, endless := chunked(crowdBodyBytes-4096, 4096), chunked(4*crowdBodyBytes, 4096)
+	var opened atomic.Int64
+	crowd{connections: slowCrowd, send: func(c net.Conn, to accessPoint) {
+		switch opened.Add(1) % 6 {
+		case 0:
+			write(c, to.bodyOf(crowdBodyBytes)+almostBody)
+		case 1:
+			write(c, to.head(to.bodyMethod())+"Transfer-Encoding: chunked\r\n\r\n"+chunks)
+		case 2:
+			write(c, to.head(to.bodyMethod())+"Transfer-Encoding: chunked\r\n\r\n"+endless)
+		case 3:
+			head := to.head(to.bodyMethod()) + "Content-Length: 4\r\n"
+			fields := lines.String()[:to.headBytes-len(head)]
+			write(c, head+fields[:strings.LastIndex(fields, "\n")+1]+"\r\ndue")
+		case 4:
+			request := to.head("GET") + "\r\n"
+			write(c, strings.Repeat(request, aheadBytes/len(request)))
+		case 5:
+			write(c, to.head("GET"))
+		}
+	}}.test(t)
+}
--- a/internal/callers/connection_limit.go
+++ b/internal/callers/connection_limit.go
@@ -14,7 +14,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.roster.bound, c.limits = bound, limits
-	c.adjustWindow()
 }
 
 // add tracks a new connection and closes one if the bound is exceeded.
@@ -22,10 +21,13 @@
 	c.mu.Lock()
 	tracked := &connection{conn: conn, phase: reading, since: time.Now()}
 	c.conns[conn] = tracked
+	usual := c.roster.bound.usualBuffers(c.roster.count)
 	c.roster.add(tracked)
-	c.adjustWindow()
 	closed := c.removeExcess(tracked)
 	c.mu.Unlock()
+	if usual {
+		setUsualBuffers(conn)
+	}
 	closeExcess(closed)
 }
 
@@ -39,7 +41,6 @@
 func (c *Connections) forget(conn net.Conn) {
 	if tracked := c.conns[conn]; tracked != nil {
 		c.roster.remove(tracked)
-		c.adjustWindow()
 		delete(c.conns, conn)
 	}
 }
--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/flamingoreel/flamingoreel/internal/clock"
@@ -64,7 +63,6 @@
 	// that some was.
 	returning int64
 	returned  *sync.Cond
-	window    window
 }
 
 // NewConnections returns a Connections that tracks no connections yet.
@@ -78,8 +76,9 @@
 func (c *Connections) WrapListener(l net.Listener) net.Listener {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.window.listener, _ = l.(syscall.Conn)
-	c.adjustWindow()
+	if c.roster.bound.UsualWindows > 0 {
+		limitBuffers(l)
+	}
 	return &listener{l, c}
 }
 
--- a/internal/callers/window.go
+++ b/internal/callers/window.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -25,49 +26,44 @@
 	windowShare = 0.05
 )
 
-// window sets the buffers of new connections through their listener, from which they inherit
-// them: they must hold for what arrives before a connection is accepted.
-type window struct {
-	listener syscall.Conn
-	// size is the receive buffer that was set last; 0 for the kernel's own.
-	size int
-}
-
-// windowSize returns the receive buffer for the next connection beside a number of others, 0
-// for that of the kernel.
-func (b Bound) windowSize(connections int) int {
-	switch {
-	case b.UsualWindows == 0:
-		return 0
-	case connections < b.UsualWindows:
-		return usualWindow
-	}
-	return smallWindow
-}
-
-// adjustWindow sets the buffers for the next connection. c.mu is held.
-func (c *Connections) adjustWindow() {
-	size := c.roster.bound.windowSize(c.roster.count)
-	if size == c.window.size || c.window.listener == nil {
+// limitBuffers makes new connections inherit the small buffers from their listener: they hold
+// for what arrives before a connection is accepted, while any number of others waits.
+func limitBuffers(l net.Listener) {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
 		return
 	}
-	raw, err := c.window.listener.SyscallConn()
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return // closed
 	}
-	c.window.size = size
-	sendBuffer := usualSendBuffer
-	if size == smallWindow {
-		sendBuffer = smallSendBuffer
-	}
 	_ = raw.Control(func(fd uintptr) {
-		// A failure leaves a buffer as it is.
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+		// A failure leaves the kernel's own sizes.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallWindow)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, smallSendBuffer)
 	})
 }
 
-// widen sets the receive buffer of the connection of a body that is long, unless there are many
+// setUsualBuffers gives an accepted connection the usual buffers.
+func setUsualBuffers(conn net.Conn) {
+	setWindow(conn, usualWindow)
+	withDescriptor(conn, func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, usualSendBuffer) })
+}
+
+// setWindow sets the receive buffer of an accepted connection. Its window would stay that of
+// the listener's buffer otherwise.
+func setWindow(conn net.Conn, size int) {
+	withDescriptor(conn, func(fd int) {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, size)
+	})
+}
+
+// usualBuffers reports whether one more connection may have the usual buffers beside a number
+// of others.
+func (b Bound) usualBuffers(connections int) bool { return connections < b.UsualWindows }
+
+// widen sets the receive buffer of the connection of a long body, unless there are many
 // connections. It reports whether narrow must follow.
 func (b *BodyReader) widen(body *Body) bool {
 	c := b.connections
@@ -75,13 +71,13 @@
 		return false
 	}
 	c.mu.Lock()
-	wide := c.roster.bound.windowSize(c.roster.count) == usualWindow
+	wide := c.roster.bound.usualBuffers(c.roster.count)
 	c.mu.Unlock()
 	if wide {
-		setReceiveBuffer(body.tracked.conn, bodyWindow)
+		setWindow(body.tracked.conn, bodyWindow)
 	}
 	return wide
 }
 
 // narrow ends widen.
-func (b *BodyReader) narrow(body *Body) { setReceiveBuffer(body.tracked.conn, usualWindow) }
+func (b *BodyReader) narrow(body *Body) { setWindow(body.tracked.conn, usualWindow) }
