--- a/cmd/flamingoreeld/crowd_test.go
+++ b/cmd/flamingoreeld/client_flood_test.go
@@ -22,12 +22,12 @@
 )
 
 const (
-	crowdNetwork = 27
-	// crowdBodyBytes is the largest body that the configuration of the tests allows.
-	crowdBodyBytes = 1 << 20
-	// crowdSendTime limits the time for which a connection of a crowd sends to a process
+	floodNetwork = 27
+	// floodBodyBytes is the largest body that the configuration of the tests allows.
+	floodBodyBytes = 1 << 20
+	// floodSendTime limits the time for which a connection of a flood sends to a process
 	// that doesn't read.
-	crowdSendTime = 3 * time.Second
+	floodSendTime = 3 * time.Second
 	// sampleInterval is the time between two samples of a process's memory.
 	sampleInterval = 10 * time.Millisecond
 )
@@ -53,8 +53,8 @@
 	return method + " " + a.path + " HTTP/1.1\r\nHost: a.example\r\nFlamingoreel-Deadline-Ms: 86400000\r\n" + a.fields
 }
 
-// crowd is a number of connections that all send the same.
-type crowd struct {
+// clientFlood is a number of connections that all send the same.
+type clientFlood struct {
 	connections int
 	// send sends until all is sent or the connection fails.
 	send func(c net.Conn, to accessPoint)
@@ -62,12 +62,12 @@
 	after func(c net.Conn)
 }
 
-// test sends a crowd to each access point of both ways of running. The process must live
+// test sends a flood to each access point of both ways of running. The process must live
 // on within its limits and serve ordinary requests while the connections are open.
-func (w crowd) test(t *testing.T, points ...func(*crowdSystem) []accessPoint) {
-	s := startCrowdSystem(t)
+func (f clientFlood) test(t *testing.T, points ...func(*floodedSystem) []accessPoint) {
+	s := startFloodedSystem(t)
 	if len(points) == 0 {
-		points = []func(*crowdSystem) []accessPoint{(*crowdSystem).rolePoints, (*crowdSystem).vmPoints}
+		points = []func(*floodedSystem) []accessPoint{(*floodedSystem).rolePoints, (*floodedSystem).vmPoints}
 	}
 	for _, list := range points {
 		for _, to := range list(s) {
@@ -76,8 +76,8 @@
 				p := to.start(t)
 				s.roles.eventually("ordinary requests", 20*time.Second, to.serves)
 				stop := p.sampleMemory(addrIP(to.addr))
-				w.run(t, to)
-				s.roles.eventually("ordinary requests beside the crowd", 20*time.Second, to.serves)
+				f.run(t, to)
+				s.roles.eventually("ordinary requests beside the flood", 20*time.Second, to.serves)
 				peak := stop()
 				p.check(t)
 				t.Logf("%.1f MB at the peak with unread bytes", float64(peak)/(1<<20))
@@ -90,20 +90,20 @@
 }
 
 // run sends what each connection sends. The connections stay open until the end of the test.
-func (w crowd) run(t *testing.T, to accessPoint) {
+func (f clientFlood) run(t *testing.T, to accessPoint) {
 	var senders sync.WaitGroup
-	for range w.connections {
+	for range f.connections {
 		senders.Go(func() {
 			c, err := net.DialTimeout("tcp", to.addr, 10*time.Second)
 			if err != nil {
 				return // the process may refuse connections
 			}
 			t.Cleanup(func() { _ = c.Close() })
-			_ = c.SetWriteDeadline(time.Now().Add(crowdSendTime))
-			w.send(c, to)
-			if w.after != nil {
+			_ = c.SetWriteDeadline(time.Now().Add(floodSendTime))
+			f.send(c, to)
+			if f.after != nil {
 				_ = c.SetWriteDeadline(time.Time{})
-				go w.after(c)
+				go f.after(c)
 			}
 		})
 	}
@@ -173,8 +173,8 @@
 	return sum
 }
 
-// crowdSystem is a deployment of the platform's roles and a VM of the other way of running.
-type crowdSystem struct {
+// floodedSystem is a deployment of the platform's roles and a VM of the other way of running.
+type floodedSystem struct {
 	t      *testing.T
 	binary string
 	roles  *deployment
@@ -183,16 +183,16 @@
 	callerAddr, adminAddr string
 }
 
-func startCrowdSystem(t *testing.T) *crowdSystem {
-	s := &crowdSystem{t: t, binary: buildDaemon(t), roles: newDeployment(t, crowdNetwork, 1)}
+func startFloodedSystem(t *testing.T) *floodedSystem {
+	s := &floodedSystem{t: t, binary: buildDaemon(t), roles: newDeployment(t, floodNetwork, 1)}
 	startPlatformTarget(t, &platformTarget{id: "ledger-0", service: "ledger", zone: "z1", controls: s.roles.controls})
 	s.roles.callAny("config.patch", "", unboundedItems)
 	return s
 }
 
 // rolePoints returns the access points of the platform's roles.
-func (s *crowdSystem) rolePoints() []accessPoint {
-	metrics := func(host int) string { return net.JoinHostPort(loopbackIP(crowdNetwork, host), metricsPort) }
+func (s *floodedSystem) rolePoints() []accessPoint {
+	metrics := func(host int) string { return net.JoinHostPort(loopbackIP(floodNetwork, host), metricsPort) }
 	restart := func(name string) func(*testing.T) *boundedProcess {
 		return func(t *testing.T) *boundedProcess { return s.roles.restartBounded(t, s.binary, name) }
 	}
@@ -226,7 +226,7 @@
 const metricsPort = "9464"
 
 // vmText is the configuration of the VM.
-const vmText = `name: crowd
+const vmText = `name: flood
 regions: [{name: r1, data_centres: [{name: z1, state: in}]}]
 services: [{name: ledger, ownership: exclusive, endpoints: 1, slots: 4, connections: 110}]
 tenants: [{name: "*", share: 1}]
@@ -234,8 +234,8 @@
 `
 
 // vmPoints returns the access points of a VM that serves callers and operators itself.
-func (s *crowdSystem) vmPoints() []accessPoint {
-	ip := loopbackIP(crowdNetwork, 31)
+func (s *floodedSystem) vmPoints() []accessPoint {
+	ip := loopbackIP(floodNetwork, 31)
 	ports := freePorts(s.t, 3)
 	addr := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[i])) }
 	s.callerAddr, s.adminAddr = addr(0), addr(1)
@@ -257,7 +257,7 @@
 }
 
 // startVM runs the VM with an empty log and a target of its own and with the low limits.
-func (s *crowdSystem) startVM(t *testing.T, linkAddr string) *boundedProcess {
+func (s *floodedSystem) startVM(t *testing.T, linkAddr string) *boundedProcess {
 	t.Helper()
 	target, err := standin.Start(standin.Config{
 		ID: "ledger-1", Service: "ledger", DataCentre: "z1", ColdRequests: -1, AnnounceInterval: heartbeatInterval,
@@ -268,7 +268,7 @@
 	}
 	t.Cleanup(target.Close)
 	p := s.vm.startBounded(t, "vm", []string{"FLAMINGOREEL_MEMORY=" + strconv.Itoa(unboundedMemoryMB)}, s.binary,
-		"--name=vm", "--region=r1", "--data-centre=z1", "--cluster=crowd", "--link-addr="+linkAddr, "--caller-addr="+s.callerAddr,
+		"--name=vm", "--region=r1", "--data-centre=z1", "--cluster=flood", "--link-addr="+linkAddr, "--caller-addr="+s.callerAddr,
 		"--admin-addr="+s.adminAddr, "--peers=vm="+linkAddr, "--voters=vm", "--bootstrap", "--data-dir="+t.TempDir(), "--record-memory=4")
 	change := fmt.Sprintf(`{"base":0,"text":%q}`, vmText)
 	s.roles.eventually("the configuration in force", 20*time.Second, func() bool {
@@ -288,7 +288,7 @@
 }
 
 // vmServes reports whether the VM serves a read and the operators.
-func (s *crowdSystem) vmServes() bool {
+func (s *floodedSystem) vmServes() bool {
 	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	req, err := http.NewRequest(http.MethodGet, "http://"+s.callerAddr+"/accounts/k", nil)
 	if err != nil {
--- a/internal/callers/receiving_test.go
+++ b/internal/callers/receiving_test.go
@@ -14,8 +14,8 @@
 	"github.com/flamingoreel/flamingoreel/internal/items"
 )
 
-// Guards against callers that hold the memory for bodies by stopping short of their end, so
-// that all other requests are refused.
+// Guards against incomplete bodies that hold the memory of all bodies, so that all other
+// requests are refused.
 func TestSlowBodiesGiveWayToLaterRequests(t *testing.T) {
 	const capacity = 40_000
 	bodies := NewBodies(capacity / requestMemoryFraction * 1.001)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,15 +15,15 @@
 $GO vet ./...
 $GO tool staticcheck ./...
 
-# The tests with crowds of clients measure memory and run one after the other, apart from
+# The tests with floods of clients measure memory and run one after the other, apart from
 # all others.
-crowds='TestCrowd.*'
-skip=() skip_crowds=(-skip "^($crowds)\$")
+floods='TestFlood.*'
+skip=() skip_floods=(-skip "^($floods)\$")
 if [ -f KNOWN-RED.txt ]; then
 	names=$(sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 	if [ -n "$names" ]; then
 		echo "skipped, see KNOWN-RED.txt: ${names//|/ }"
-		skip=(-skip "^(${names})\$") skip_crowds=(-skip "^($crowds|${names})\$")
+		skip=(-skip "^(${names})\$") skip_floods=(-skip "^($floods|${names})\$")
 	fi
 fi
 # The race detector of Go 1.26.8 crashes sporadically in programs that run many
@@ -32,6 +32,6 @@
 # internal/session. Its tests run without the race detector here, and with it in
 # `make race-sessions`.
 sessions=$($GO list ./internal/session)
-$GO test -race -count=1 -timeout 20m "${skip_crowds[@]}" $($GO list ./... | grep -vx "$sessions")
+$GO test -race -count=1 -timeout 20m "${skip_floods[@]}" $($GO list ./... | grep -vx "$sessions")
 $GO test -count=1 -timeout 20m "${skip[@]}" "$sessions"
-$GO test -count=1 -timeout 20m -run "^($crowds)\$" "${skip[@]}" ./cmd/flamingoreeld
+$GO test -count=1 -timeout 20m -run "^($floods)\$" "${skip[@]}" ./cmd/flamingoreeld
